--- /dev/null
+++ b/brain/brain.go
@@ -0,0 +1,1208 @@
+// The decision module. Its interface (Config, Event and Action types) is api.go.
+//
+// The ordinary path is SABER's admission rule (paper, Section IV, Algorithm 1): a held request
+// is admitted to a writer only if the online curve f of speed against concurrency says that it
+// and every stream there keep their token pace, and if its first token can come in time.
+
+package brain
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"sort"
+)
+
+// Defaults of the design, ours.
+const (
+	window      = 4    // requests at the head of the high tier from which one is drawn
+	recheck     = 0.02 // s between looks at held requests when nothing else happens
+	paceSlack   = 0.9  // share of the token pace aim that a prediction may use
+	memLimit    = 0.92 // share of a writer's memory that admissions may fill
+	homeFactor  = 2    // a reader with this many times its mean of our reads out passes to the next
+	overhead    = 400  // tokens that a read's fixed costs are worth, for predictions
+	firstSpt    = 5e-5 // s a token to read, until the first read ends
+	firstLag    = 0.1  // s from a writer's send to its first token, until one is seen
+	firstFar    = 2e-5 // s a token over a cell's link, until one is seen
+	ridge       = 4    // samples that a curve's prior is worth
+	memoryOf    = 0.98 // what a curve keeps of older samples at each new one
+	forget      = 5.0  // s after which a gauge has mostly returned to its prior
+	errGain     = 0.3  // weight of the newest outcome in an engine's failure score
+	errEject    = 0.5  // failure score at which an engine is ejected
+	errTrial    = 0.25 // and above which it gets one request at a time
+	maxEject    = 4.0  // s, the longest ejection before the next trial
+	fullFor     = 0.3  // s that a writer which turned a request away counts as full
+	holdShare   = 0.5  // share of let_go_by for which a read state may wait for a writer
+	coldSafety  = 0.8  // share of the cold budget that we use
+	rateWindow  = 4.0  // s over which send and arrival rates are averaged
+	probeBudget = 5e-3 // points of the result that routine probes may cost
+	farReserve  = 0.1  // share of the time left that a move must take for a place to be reserved
+	idleSession = 60.0 // s after which a session is forgotten
+)
+
+// stage is where a request stands.
+type stage int
+
+const (
+	held    stage = iota // unread, no attempt out
+	reading              // an attempt is out at a reader
+	parsed               // its state waits at a reader, no attempt is out
+	writing              // an attempt is out at a writer, no token yet
+	flowing              // the answer streams
+)
+
+// request is an open request, or an ended one of which an attempt is still out. sent, out and
+// mayRun are the ledger of its attempts' possible effect.
+type request struct {
+	Request
+	class                  *Class
+	arrived, aim, deadline float64
+	over, low, done        bool // beyond its tenant's share; in the low tier; answered or given up
+	stage                  stage
+	sent, out              int     // attempts made; the number of the one out, or -1
+	mayRun                 bool    // an earlier attempt may have run
+	mayRunAt               float64 // when the first such was sent
+	mayRunOn               *engine // and where
+	reader, writer         *engine // of the attempt out or of the state; admitted to
+	hasHold                bool    // a state or place may be held for it
+	holdSince              float64 // time of the last outcome or reservation
+	sentAt, expect         float64 // of the attempt out, and how long we think it takes
+	tokens, load           float64 // uncached tokens to read; the same with those ahead of it
+	kept                   float64 // tokens that we think the reader has kept
+	flowAt                 float64
+	flowL                  int
+	far                    float64 // tokens of this request on a cell's link
+	tested                 int64   // decision pass in which it was last tested
+}
+
+// gauge is a running mean that returns to its prior while nothing is learned, so that an engine
+// or a link once slow is tried again.
+type gauge struct {
+	v, at float64
+	n     int
+}
+
+func (g *gauge) add(now, x, gain float64) {
+	if g.n == 0 {
+		gain = 1
+	}
+	g.v, g.at, g.n = g.v+gain*(x-g.v), now, g.n+1
+}
+
+func (g *gauge) get(now, prior float64) float64 {
+	if g.n == 0 {
+		return prior
+	}
+	return prior + (g.v-prior)*math.Exp(-(now-g.at)/forget)
+}
+
+// curve fits seconds a token at concurrency L as c0·(1 + σ(L−1) + κL(L−1)), the Universal
+// Scalability Law in its linear form, by least squares with forgetting; σ and κ start at zero.
+type curve struct {
+	a [3][3]float64
+	b [3]float64
+	c [3]float64 // the latest fit
+}
+
+func (k *curve) sample(l int, pace float64) {
+	x := [3]float64{1, float64(l - 1), float64(l) * float64(l-1)}
+	for i := range x {
+		for j := range x {
+			k.a[i][j] = memoryOf*k.a[i][j] + x[i]*x[j]
+		}
+		k.b[i] = memoryOf*k.b[i] + x[i]*pace
+	}
+}
+
+// fit solves for non-negative coefficients, pulled to the prior where samples are few, by
+// projected coordinate descent. σ and κ are kept at or under 1.
+func (k *curve) fit(prior [3]float64) {
+	c := prior
+	for sweep := 0; sweep < 40; sweep++ {
+		for i := range c {
+			s := k.b[i]
+			for j := range c {
+				if j != i {
+					s -= k.a[i][j] * c[j]
+				}
+			}
+			pull := ridge * (1 + k.a[i][i]/(1+k.a[0][0]))
+			c[i] = max(0, (s+pull*prior[i])/(k.a[i][i]+pull))
+		}
+	}
+	c[0] = max(c[0], 1e-4)
+	c[1], c[2] = min(c[1], c[0]), min(c[2], c[0])
+	k.c = c
+}
+
+// speed is f(L): the speed at concurrency L against that at 1.
+func (k *curve) speed(l int) float64 {
+	x := float64(l)
+	return k.c[0] / (k.c[0] + k.c[1]*(x-1) + k.c[2]*x*(x-1))
+}
+
+// push is a send to a cold engine.
+type push struct{ at, weight float64 }
+
+// engine is what we know of one engine.
+type engine struct {
+	Engine
+	role              Role
+	mem               float64
+	reads, jobs       []*request // our reads out; our requests admitted or streaming
+	spt, lag          gauge      // s a token read; s from send to first token
+	pace              curve
+	kept              map[string]bool // shared beginnings that we saw read here
+	report            Report
+	reportAt          float64
+	err, backoff      float64
+	ejectedTill       float64
+	fullTill          float64
+	lastGood          float64
+	pushes            []push
+	probing, everSeen bool
+}
+
+// kindStats pools what engines of one kind have shown.
+type kindStats struct {
+	spt, lag gauge
+	pace     curve
+}
+
+// classStats is what we infer of a class's work.
+type classStats struct {
+	prompt, fresh, diff gauge
+}
+
+type session struct {
+	prompt, at float64
+	reader     *engine
+}
+
+type linkKey struct{ cell, zone int }
+
+// link is the way out of a cell to a zone; out is what we have on it.
+type link struct {
+	perTok   gauge
+	out      float64
+	badUntil float64
+}
+
+type bucket struct{ level, at float64 }
+
+// Router decides for one node. It is not safe for concurrent use.
+type Router struct {
+	cfg             Config
+	rng             *rand.Rand
+	now, started    float64
+	acts            []Action
+	engines         map[string]*engine
+	list            []*engine // in order of id
+	byID            map[string]*request
+	open            []*request // in order of arrival
+	kinds           []kindStats
+	classes         []classStats
+	sessions        map[string]session
+	links           map[linkKey]*link
+	buckets         []bucket
+	sentRate        [3]float64 // decayed weight of our sends by role, and arrivals
+	arrivals        float64
+	rateAt          float64
+	pass            int64
+	timerAt         float64
+	timers          int64
+	probeAt         float64
+	probeNext       int
+	watchAt, sweep  float64
+	watching, begun bool
+}
+
+// New returns a router, or an error that names the field of an impossible Config.
+func New(cfg Config, seed uint64) (*Router, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		engines: map[string]*engine{}, byID: map[string]*request{}, sessions: map[string]session{},
+		links: map[linkKey]*link{}, kinds: make([]kindStats, len(cfg.Kinds)),
+		classes: make([]classStats, len(cfg.Classes)), buckets: make([]bucket, len(cfg.Tenants))}
+	aim := math.Inf(1)
+	for _, c := range cfg.Classes {
+		if c.TokenAim > 0 {
+			aim = min(aim, c.TokenAim)
+		}
+	}
+	for i := range r.kinds { // an optimistic start; the first streams that end correct it
+		r.kinds[i].pace.c = [3]float64{min(aim, 1) * 0.4, 0, 0}
+	}
+	return r, nil
+}
+
+// Step takes what has happened up to now, in order, and returns what is to be done.
+func (r *Router) Step(now float64, events []Event) []Action {
+	if !r.begun {
+		r.begun, r.started, r.rateAt = true, now, now
+	}
+	r.now, r.acts = max(now, r.now), nil
+	k := math.Exp(-(r.now - r.rateAt) / rateWindow)
+	r.rateAt, r.arrivals = r.now, r.arrivals*k
+	for i := range r.sentRate {
+		r.sentRate[i] *= k
+	}
+	for _, ev := range events {
+		switch ev := ev.(type) {
+		case Members:
+			r.members(ev)
+		case Request:
+			r.arrive(ev)
+		case First:
+			r.first(ev)
+		case Outcome:
+			r.outcome(ev)
+		case Gone:
+			if q := r.byID[ev.ID]; q != nil && !q.done {
+				r.finish(q, nil)
+			}
+		case Probed:
+			r.probed(ev)
+		case Wake:
+			if ev.Token == r.timers {
+				r.timerAt = 0
+			}
+		}
+	}
+	r.decide()
+	r.arm()
+	return r.acts
+}
+
+func (r *Router) do(a Action) { r.acts = append(r.acts, a) }
+
+// members applies a list of engines. A new start of an engine voids what we knew of it.
+func (r *Router) members(ev Members) {
+	if ev.Form == ListLost {
+		r.watching = false
+		return
+	}
+	r.watching = true
+	seen := map[string]bool{}
+	for _, n := range ev.Engines {
+		if n.Kind < 0 || n.Kind >= len(r.cfg.Kinds) {
+			continue
+		}
+		seen[n.ID] = true
+		e := r.engines[n.ID]
+		if e == nil {
+			e = &engine{kept: map[string]bool{}}
+			r.engines[n.ID] = e
+			r.list = append(r.list, e)
+		} else if n.State == Ready && n.BootTime > e.BootTime { // came back empty and cold
+			*e = engine{kept: map[string]bool{}, reads: e.reads, jobs: e.jobs, pushes: e.pushes}
+		}
+		e.Engine, e.role, e.mem = n, r.cfg.Kinds[n.Kind].Role, r.cfg.Kinds[n.Kind].Memory
+	}
+	if ev.Form != ListChanges {
+		for _, e := range r.list {
+			if !seen[e.ID] {
+				e.State = Removed
+			}
+		}
+	}
+	keep := r.list[:0]
+	for _, e := range r.list {
+		if e.State == Removed && len(e.reads)+len(e.jobs) == 0 {
+			delete(r.engines, e.ID)
+			continue
+		}
+		keep = append(keep, e)
+	}
+	r.list = keep
+	sort.Slice(r.list, func(i, j int) bool { return r.list[i].ID < r.list[j].ID })
+}
+
+// arrive takes a request into the high tier.
+func (r *Router) arrive(ev Request) {
+	if r.byID[ev.ID] != nil {
+		return
+	}
+	if ev.Class < 0 || ev.Class >= len(r.cfg.Classes) {
+		r.do(Fail{ev.ID})
+		return
+	}
+	c := &r.cfg.Classes[ev.Class]
+	q := &request{Request: ev, class: c, arrived: r.now, out: -1, deadline: r.now + ev.TimeLeft}
+	q.aim = r.now + c.Aim + c.AimPerK*ev.PromptLen/1000 + c.AimStretch*ev.Hint
+	q.over = r.overShare(ev.Tenant)
+	r.byID[ev.ID] = q
+	r.open = append(r.open, q)
+	r.arrivals++
+	s := &r.classes[ev.Class]
+	s.prompt.add(r.now, ev.PromptLen, 0.05)
+	if old, ok := r.sessions[ev.Session]; ok && !ev.Returned {
+		if d := ev.PromptLen - old.prompt; d > 0 {
+			s.diff.add(r.now, d, 0.05) // the last answer and the new text together
+		}
+	} else if !ev.Returned && !ev.Retry {
+		s.fresh.add(r.now, ev.PromptLen-ev.PrefixLen, 0.05)
+	}
+}
+
+// overShare charges a tenant's bucket: our part of its quota, with two seconds of slack.
+func (r *Router) overShare(tenant int) bool {
+	if tenant < 0 || tenant >= len(r.buckets) || r.cfg.Tenants[tenant].Quota <= 0 {
+		return false
+	}
+	b, rate := &r.buckets[tenant], r.cfg.Tenants[tenant].Quota/float64(r.cfg.Balancers)
+	if b.at == 0 {
+		b.level = 2 * rate
+	} else {
+		b.level = min(2*rate, b.level+rate*(r.now-b.at))
+	}
+	b.at = r.now
+	if b.level < 1 {
+		return true
+	}
+	b.level--
+	return false
+}
+
+// answerTokens is our guess of an answer's length: the hint where there is one; else what a
+// session's next prompt grew by beyond what first prompts add; a quarter of the most allowed
+// until both were seen.
+func (r *Router) answerTokens(q *request) float64 {
+	if q.Hint > 0 && q.class.TokenAim > 0 {
+		return max(4, min(q.Hint/q.class.TokenAim, max(q.MaxOut, 4)))
+	}
+	s := &r.classes[q.Class]
+	guess := max(8, q.MaxOut/4)
+	if s.diff.n == 0 || s.fresh.n == 0 {
+		return guess
+	}
+	w := float64(s.diff.n) / float64(s.diff.n+10)
+	seen := max(guess/3, min(guess*3, s.diff.v-s.fresh.v))
+	return guess + w*(seen-guess)
+}
+
+func (r *Router) first(ev First) {
+	q := r.byID[ev.ID]
+	if q == nil || q.out != ev.Attempt || q.stage != writing {
+		return
+	}
+	e := q.writer
+	q.stage, q.flowAt, q.flowL, q.hasHold = flowing, r.now, len(e.jobs), false
+	if q.far > 0 {
+		l := r.link(q.reader, e)
+		l.perTok.add(r.now, max(0, ev.Spent-r.lag(e))/q.far, 0.3)
+		l.out, q.far = l.out-q.far, 0
+	} else {
+		e.lag.add(r.now, ev.Spent, 0.25)
+		r.kinds[e.Kind].lag.add(r.now, ev.Spent, 0.05)
+	}
+	r.judge(e, 0)
+}
+
+// outcome ends an attempt and files what it tells.
+func (r *Router) outcome(ev Outcome) {
+	if e := r.engines[ev.Engine]; e != nil {
+		r.takeReport(e, ev.Report)
+	}
+	q := r.byID[ev.ID]
+	if q == nil || q.out != ev.Attempt {
+		return
+	}
+	was, e := q.stage, q.reader
+	if was != reading {
+		e = q.writer
+	}
+	q.out, q.stage, q.holdSince = -1, held, r.now
+	e.reads = without(e.reads, q)
+	if q.far > 0 {
+		r.link(q.reader, e).out -= q.far
+		q.far = 0
+	}
+	switch ev.Status {
+	case Parsed:
+		q.hasHold, q.stage = true, parsed
+		r.learnRead(q, e, ev)
+	case Served:
+		r.learnStream(q, e)
+	case TurnedAway:
+		if ev.Info == 1 {
+			r.stateLost(q, e)
+		} else {
+			e.fullTill = r.now + fullFor
+			if was == writing && q.hasHold {
+				q.stage = parsed
+			}
+		}
+	case NotSent:
+	default:
+		r.judge(e, 1)
+		if ev.Status == NoConnection && e.err < errEject {
+			r.eject(e)
+		}
+		if was == writing || was == flowing {
+			if ev.Status != NoConnection && !q.mayRun && e.role != Read {
+				q.mayRun, q.mayRunAt, q.mayRunOn = true, q.sentAt, e
+			}
+			if q.hasHold {
+				q.stage = parsed
+			}
+		}
+	}
+	if ev.Closed && !q.done {
+		r.end(q)
+	}
+	if q.stage != parsed || q.done {
+		r.letGo(q)
+	} else if was == writing {
+		r.unadmit(q)
+	}
+	if q.done {
+		delete(r.byID, q.ID)
+	}
+}
+
+// letGo releases whatever is held for a request of which no attempt is out (rule 5) and frees
+// its place in our own count.
+func (r *Router) letGo(q *request) {
+	if q.hasHold {
+		r.do(Release{q.ID})
+		q.hasHold = false
+	}
+	if q.stage == parsed {
+		q.stage = held
+	}
+	r.unadmit(q)
+}
+
+func (r *Router) unadmit(q *request) {
+	if q.writer != nil {
+		q.writer.jobs = without(q.writer.jobs, q)
+		q.writer = nil
+	}
+}
+
+func without(xs []*request, q *request) []*request {
+	for i, x := range xs {
+		if x == q {
+			return append(xs[:i:i], xs[i+1:]...)
+		}
+	}
+	return xs
+}
+
+// end closes our books on a request; those of an attempt still out stay.
+func (r *Router) end(q *request) {
+	q.done = true
+	r.open = without(r.open, q)
+}
+
+// finish gives the final answer (none after Gone), calls off what is out and lets go of the rest.
+func (r *Router) finish(q *request, answer Action) {
+	if answer != nil {
+		r.do(answer)
+	}
+	r.end(q)
+	if q.out < 0 {
+		r.letGo(q)
+		delete(r.byID, q.ID)
+		return
+	}
+	if q.stage != flowing {
+		if r.cfg.Limits.Cancel {
+			r.do(Cancel{q.ID, q.out})
+		}
+		if q.hasHold {
+			r.do(Release{q.ID}) // a place reserved beside the read
+		}
+	}
+}
+
+// answer is the best final answer that the ledger allows: a refusal tells the client that a
+// further try is harmless (rule 2).
+func (r *Router) answer(q *request) Action {
+	may := q.mayRun || q.stage == writing
+	if q.class.Effect == Repeatable || !may || q.class.Effect == ByKey && q.class.Group == GroupAll {
+		return Refuse{ID: q.ID}
+	}
+	return Fail{q.ID}
+}
+
+// maySend tells whether the ledger allows an attempt that could have an effect at e (rule 2).
+func (r *Router) maySend(q *request, e *engine) bool {
+	if !q.mayRun || q.class.Effect == Repeatable {
+		return true
+	}
+	if q.class.Effect == Once || r.now > q.mayRunAt+q.class.KeyTTL-2*r.cfg.Tick {
+		return false
+	}
+	g := q.class.Group
+	return g == GroupAll || g == GroupZone && e.Zone == q.mayRunOn.Zone || g == GroupCell && e.Cell == q.mayRunOn.Cell
+}
+
+// judge moves an engine's failure score. Two failures in a row eject it, whatever their cause:
+// fast errors, a dead process, a cut link or silence. It comes back by single trials.
+func (r *Router) judge(e *engine, bad float64) {
+	e.err += errGain * (bad - e.err)
+	if bad == 0 {
+		e.lastGood = r.now
+		if e.err < errTrial {
+			e.backoff = 0
+		}
+	} else if e.err >= errEject && r.now >= e.ejectedTill {
+		r.eject(e)
+	}
+}
+
+func (r *Router) eject(e *engine) {
+	e.err = max(e.err, errEject)
+	e.backoff = min(maxEject, max(0.5, 2*e.backoff))
+	e.ejectedTill = r.now + e.backoff
+	if e.backoff == 0.5 {
+		r.do(Log{fmt.Sprintf("ejected %s, failure score %.2f", e.ID, e.err)})
+	}
+}
+
+func (r *Router) takeReport(e *engine, rep *Report) {
+	if rep != nil {
+		e.report, e.reportAt = *rep, r.now
+	}
+}
+
+func (r *Router) probed(ev Probed) {
+	e := r.engines[ev.Engine]
+	if e == nil {
+		return
+	}
+	e.probing = false
+	if ev.Status == Served {
+		r.takeReport(e, ev.Report)
+	} else if ev.Status == NoConnection || ev.Status == NoAnswer || ev.Status == ConnectionLost {
+		r.judge(e, 1)
+	}
+}
+
+// learnRead takes the time of a read and the tokens that were found kept. A beginning that was
+// not found is struck off, so that lost prefixes are expected to be read anew.
+func (r *Router) learnRead(q *request, e *engine, ev Outcome) {
+	x := ev.Spent / max(1, q.load+q.kept-float64(ev.Info))
+	e.spt.add(r.now, x, 0.25)
+	r.kinds[e.Kind].spt.add(r.now, x, 0.05)
+	if q.Prefix != "" {
+		e.kept[q.Prefix] = true
+	}
+	if q.Session != "" {
+		r.sessions[q.Session] = session{q.PromptLen, r.now, e}
+	}
+	if float64(ev.Info) < q.kept/2 { // others' beginnings went too: learn them anew
+		clear(e.kept)
+	}
+	if len(e.kept) > 4096 {
+		clear(e.kept)
+	}
+	r.judge(e, 0)
+}
+
+func (r *Router) learnStream(q *request, e *engine) {
+	r.judge(e, 0)
+	tokens := r.answerTokens(q)
+	if q.flowAt == 0 || tokens <= 1 {
+		return
+	}
+	l := max(1, (q.flowL+len(e.jobs))/2)
+	pace := (r.now - q.flowAt) / tokens
+	k := &r.kinds[e.Kind].pace
+	k.sample(l, pace)
+	k.fit(k.c)
+	e.pace.sample(l, pace)
+	e.pace.fit(k.c)
+}
+
+// stateLost: the writer found no state. The reader restarted, or the two cannot reach each other:
+// that way is not used for a while.
+func (r *Router) stateLost(q *request, w *engine) {
+	if q.reader != nil && q.reader.Cell != w.Cell {
+		r.link(q.reader, w).badUntil = r.now + 2
+	}
+}
+
+func (r *Router) link(from, to *engine) *link {
+	k := linkKey{from.Cell, to.Zone}
+	l := r.links[k]
+	if l == nil {
+		l = &link{}
+		r.links[k] = l
+	}
+	return l
+}
+
+// usable tells whether an engine may be sent something new: listed ready (rule 3), not ejected,
+// one trial at a time while its failure score is high, not silent, and within a cold budget.
+func (r *Router) usable(e *engine, desperate bool) bool {
+	if e.State != Ready {
+		return false
+	}
+	if desperate {
+		return true
+	}
+	if r.now < e.ejectedTill || r.silent(e) {
+		return false
+	}
+	return e.err < errTrial || waiting(e) == 0
+}
+
+// waiting counts our attempts at an engine that have not shown a sign of life.
+func waiting(e *engine) int {
+	n := len(e.reads)
+	for _, q := range e.jobs {
+		if q.stage != flowing {
+			n++
+		}
+	}
+	return n
+}
+
+// silent: nothing good came since an attempt that should long have been answered was sent. It
+// covers a dead machine, a cut zone and a stuck process before any time-out tells.
+func (r *Router) silent(e *engine) bool {
+	for _, xs := range [2][]*request{e.reads, e.jobs} {
+		for _, q := range xs {
+			if (q.stage == reading && q.reader == e || q.stage == writing) &&
+				r.now-q.sentAt > 3*q.expect+0.3 && e.lastGood < q.sentAt {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (r *Router) spt(e *engine) float64 {
+	base := r.kinds[e.Kind].spt.v
+	if base == 0 {
+		base = firstSpt
+	}
+	if e.spt.n == 0 && r.cold(e) {
+		return base / max(0.1, r.cfg.Rules.ColdShare)
+	}
+	return e.spt.get(r.now, base)
+}
+
+func (r *Router) lag(e *engine) float64 {
+	base := firstLag
+	if g := r.kinds[e.Kind].lag; g.n > 0 {
+		base = g.v
+	}
+	return e.lag.get(r.now, base)
+}
+
+func (r *Router) curve(e *engine) *curve {
+	if e.pace.c[0] == 0 {
+		return &r.kinds[e.Kind].pace
+	}
+	return &e.pace
+}
+
+func (r *Router) cold(e *engine) bool {
+	return e.BootTime > 0 && r.now < e.BootTime+r.cfg.Rules.ColdFor
+}
+
+// weight is the mean work of a request's class at an engine's role, the unit of the cold budget.
+func (r *Router) weight(q *request, role Role) float64 {
+	if role == Read {
+		return r.classes[q.Class].prompt.v + overhead
+	}
+	return r.answerTokens(q) + 0.1*r.classes[q.Class].prompt.v
+}
+
+// coldRoom tells whether one more send keeps a cold engine within our part of its budget (rule
+// 4). Its capacity is taken to be at least the load that warm engines of its role bear; after our
+// own start we wait a whole window, as others of our sends may be in it.
+func (r *Router) coldRoom(q *request, e *engine) bool {
+	if !r.cold(e) {
+		return true
+	}
+	if r.now < r.started+r.cfg.Rules.TipAfter {
+		return false
+	}
+	warm := 0
+	for _, x := range r.list {
+		if x.role == e.role && x.State == Ready && !r.cold(x) {
+			warm++
+		}
+	}
+	rate := r.sentRate[e.role] / rateWindow / float64(max(1, warm))
+	used := r.weight(q, e.role)
+	for _, p := range e.pushes {
+		if p.at > r.now-r.cfg.Rules.TipAfter {
+			used += p.weight
+		}
+	}
+	return used <= coldSafety*r.cfg.Rules.FallMultiple*r.cfg.Rules.ColdShare*rate*r.cfg.Rules.TipAfter
+}
+
+// keptAt guesses how much of a prompt a reader has kept.
+func (r *Router) keptAt(q *request, e *engine) float64 {
+	if s, ok := r.sessions[q.Session]; ok && s.reader == e && s.at > e.BootTime {
+		return min(s.prompt, q.PromptLen)
+	}
+	if q.Prefix != "" && e.kept[q.Prefix] {
+		return min(q.PrefixLen, q.PromptLen)
+	}
+	return 0
+}
+
+// readTime predicts a read: our own reads ahead count, others' load shows in the learned rate.
+func (r *Router) readTime(q *request, e *engine) (t, tokens, load float64) {
+	tokens = max(32, q.PromptLen-r.keptAt(q, e))
+	load = tokens + overhead
+	for _, x := range e.reads {
+		load += x.tokens
+	}
+	return load * r.spt(e), tokens, load
+}
+
+// moveTime predicts the move of a state beyond what a writer's lag holds: only the link of the
+// reader's cell counts, with what we have on it.
+func (r *Router) moveTime(q *request, from, to *engine) float64 {
+	if from == nil || from.Cell == to.Cell {
+		return 0
+	}
+	l := r.link(from, to)
+	return (l.out + q.PromptLen) * l.perTok.get(r.now, firstFar)
+}
+
+// memUsed is the share of a writer's memory taken, by its report and by what we sent since; of
+// our own alone times the routers where there is no report.
+func (r *Router) memUsed(e *engine, q *request) float64 {
+	if e.mem <= 0 {
+		return 0
+	}
+	var own, since float64
+	for _, x := range e.jobs {
+		t := x.PromptLen + r.answerTokens(x)
+		own += t
+		if x.stage != flowing || x.flowAt > e.reportAt-0.2 {
+			since += t
+		}
+	}
+	need := q.PromptLen + r.answerTokens(q)
+	if e.report.Has&HasMemShare != 0 && r.now-e.reportAt < 3 {
+		return max(own/e.mem, e.report.MemShare+since/e.mem) + need/e.mem
+	}
+	return (own*float64(r.cfg.Balancers) + need) / e.mem
+}
+
+// paceRoom applies the curve: what f(L+1) leaves above the bound set by the pace aims of the
+// newcomer and of every stream there. Negative means that one of them would fall behind.
+func (r *Router) paceRoom(e *engine, q *request) float64 {
+	k := r.curve(e)
+	l, aim := 1, q.class.TokenAim
+	for _, x := range e.jobs {
+		if x != q {
+			l++
+			if x.class.TokenAim > 0 {
+				aim = min(aim, x.class.TokenAim)
+			}
+		}
+	}
+	if aim <= 0 {
+		return 1 / float64(l)
+	}
+	return 1 - k.c[0]/(paceSlack*aim)/k.speed(l)
+}
+
+// room is the room that a writer has for q; pass tells whether it may be admitted there.
+func (r *Router) room(e *engine, q *request) (room float64, pass bool) {
+	pace, used := r.paceRoom(e, q), r.memUsed(e, q)
+	full := r.now < e.fullTill || e.report.Has&HasWaiting != 0 && e.report.Waiting >= 1 && r.now-e.reportAt < 1
+	return pace + 1 - used - e.err, pace >= 0 && used <= memLimit && !full
+}
+
+// bestWriter returns the writer with most room: of the reader's cell, else of another. With
+// untested set, the curve and the first-token time are not asked.
+func (r *Router) bestWriter(q *request, from *engine, left float64, untested, desperate bool) *engine {
+	var near, far *engine
+	nearRoom, farRoom := math.Inf(-1), math.Inf(-1)
+	for _, e := range r.list {
+		if e.role == Read || !r.usable(e, desperate) || !r.maySend(q, e) || q.writer != e && !r.coldRoom(q, e) {
+			continue
+		}
+		if from.Cell != e.Cell && r.now < r.link(from, e).badUntil {
+			continue
+		}
+		room, pass := r.room(e, q)
+		if !untested && (!pass || r.lag(e)+r.moveTime(q, from, e) > left) {
+			continue
+		}
+		if untested && !pass {
+			room -= 2 // overfull ones last
+		}
+		if from.Cell == e.Cell {
+			if room > nearRoom {
+				near, nearRoom = e, room
+			}
+			continue
+		}
+		if e.Zone != from.Zone {
+			room -= 0.5
+		}
+		if room > farRoom {
+			far, farRoom = e, room
+		}
+	}
+	if near != nil {
+		return near
+	}
+	return far
+}
+
+// readers returns the usable readers in rendezvous order of the shared beginning (the session
+// where there is none), the same at every router; those with twice the mean of our reads go last.
+func (r *Router) readers(q *request) []*engine {
+	var xs []*engine
+	for _, desperate := range [2]bool{false, true} {
+		for _, e := range r.list {
+			if e.role == Read && r.usable(e, desperate) && r.coldRoom(q, e) {
+				xs = append(xs, e)
+			}
+		}
+		if len(xs) > 0 {
+			break
+		}
+	}
+	key := q.Prefix
+	if key == "" {
+		key = q.Session
+	}
+	total := 0
+	for _, e := range xs {
+		total += len(e.reads)
+	}
+	limit := max(2, homeFactor*float64(total)/float64(max(1, len(xs))))
+	score := make(map[*engine]uint64, len(xs))
+	for _, e := range xs {
+		h := fnv.New64a()
+		h.Write([]byte(e.ID))
+		h.Write([]byte(key))
+		s := h.Sum64()
+		s ^= s >> 31
+		s *= 0x9e3779b97f4a7c15 // spread: similar ids must not rank alike
+		score[e] = s ^ s>>29
+	}
+	sort.Slice(xs, func(i, j int) bool {
+		bi, bj := float64(len(xs[i].reads)) >= limit, float64(len(xs[j].reads)) >= limit
+		if bi != bj {
+			return bj
+		}
+		return score[xs[i]] > score[xs[j]]
+	})
+	return xs
+}
+
+// send makes an attempt and writes it into the ledger and the budgets.
+func (r *Router) send(q *request, e *engine, expect, timeout float64) {
+	r.do(Send{q.ID, e.ID, timeout})
+	w := r.weight(q, e.role)
+	r.sentRate[e.role] += w
+	if r.cold(e) {
+		keep := e.pushes[:0]
+		for _, p := range e.pushes {
+			if p.at > r.now-r.cfg.Rules.TipAfter {
+				keep = append(keep, p)
+			}
+		}
+		e.pushes = append(keep, push{r.now, w})
+	}
+	q.out, q.sentAt, q.expect = q.sent, r.now, expect
+	q.sent++
+}
+
+// sendRead starts the read at rd of a request admitted to w.
+func (r *Router) sendRead(q *request, rd, w *engine) {
+	t, tokens, load := r.readTime(q, rd)
+	q.kept = r.keptAt(q, rd)
+	q.tokens, q.load, q.stage, q.reader = tokens, load, reading, rd
+	timeout := 0.0
+	if q.sent+3 < r.cfg.Limits.MaxAttempts || q.sent == 0 {
+		timeout = min(4*t+0.5, max(r.cfg.Tick, q.deadline-r.now))
+	}
+	r.send(q, rd, t, timeout)
+	rd.reads = append(rd.reads, q)
+	q.writer = w
+	w.jobs = append(w.jobs, q)
+	move := r.moveTime(q, rd, w)
+	if r.cfg.Ahead && move > farReserve*max(0, q.aim-r.now) && r.coldRoom(q, w) && w.State == Ready {
+		r.do(Reserve{q.ID, w.ID})
+		q.hasHold = true
+	}
+}
+
+// sendWrite sends a read request (or an unread one, as a fallback) to a writer.
+func (r *Router) sendWrite(q *request, w *engine, extra float64) {
+	if q.writer != w {
+		r.unadmit(q)
+		q.writer = w
+		w.jobs = append(w.jobs, q)
+	}
+	move := extra
+	if q.stage == parsed {
+		move = r.moveTime(q, q.reader, w)
+		if w.Cell != q.reader.Cell {
+			q.far = q.PromptLen
+			r.link(q.reader, w).out += q.far
+		}
+	}
+	expect, timeout := r.lag(w)+move, 0.0
+	if q.class.Effect == Repeatable && q.sent+1 < r.cfg.Limits.MaxAttempts {
+		timeout = min(4*expect+1, max(r.cfg.Tick, q.deadline-r.now))
+	}
+	q.stage = writing
+	r.send(q, w, expect, timeout)
+}
+
+// margin is how long before the deadline a final answer is given.
+func (r *Router) margin() float64 { return max(0.01, 4*r.cfg.Tick) }
+
+// decide is the one decision pass of a step.
+func (r *Router) decide() {
+	r.pass++
+	r.housekeeping()
+	var high, low []*request
+	for _, q := range append([]*request(nil), r.open...) {
+		if q.stage == flowing {
+			continue
+		}
+		if r.expire(q) {
+			continue
+		}
+		if q.stage == parsed {
+			r.placeParsed(q)
+		}
+		if q.stage == held && !q.done {
+			if q.low {
+				low = append(low, q)
+			} else {
+				high = append(high, q)
+			}
+		}
+	}
+	byDeadline(high)
+	high = r.admitHigh(high)
+	if len(high) == 0 {
+		byDeadline(low)
+		for _, q := range low {
+			r.admit(q, true)
+		}
+	}
+	r.probe()
+}
+
+// byDeadline orders a tier: traffic beyond its tenant's share yields, then by first-token aim.
+func byDeadline(xs []*request) {
+	sort.SliceStable(xs, func(i, j int) bool {
+		if xs[i].over != xs[j].over {
+			return xs[j].over
+		}
+		return xs[i].aim < xs[j].aim
+	})
+}
+
+// expire answers a request whose time is nearly up, or that can have no further attempt, and
+// drops to the low tier one that can no longer start in time.
+func (r *Router) expire(q *request) bool {
+	best := r.bestCase(q)
+	if q.out < 0 {
+		stuck := q.sent >= r.cfg.Limits.MaxAttempts || q.mayRun && q.class.Effect == Once ||
+			q.mayRun && q.class.Effect == ByKey && r.now > q.mayRunAt+q.class.KeyTTL-2*r.cfg.Tick
+		if stuck || r.now >= q.deadline-max(r.margin(), min(best, 0.5*q.TimeLeft)) {
+			r.finish(q, r.answer(q))
+			return true
+		}
+	} else if r.now >= q.deadline-r.margin() {
+		r.finish(q, r.answer(q))
+		return true
+	}
+	if !q.low && r.now+best > q.aim {
+		q.low = true
+	}
+	return false
+}
+
+// bestCase is the least time in which a first token could still come.
+func (r *Router) bestCase(q *request) float64 {
+	t, lag := math.Inf(1), math.Inf(1)
+	for _, e := range r.list {
+		if e.State != Ready {
+			continue
+		}
+		if e.role == Read {
+			t = min(t, max(32, q.PromptLen-r.keptAt(q, e))*r.spt(e))
+		} else {
+			lag = min(lag, r.lag(e))
+		}
+	}
+	if q.stage == parsed {
+		t = 0
+	}
+	if math.IsInf(t+lag, 1) {
+		return 0 // nobody is listed: hold and hope
+	}
+	return t + lag
+}
+
+// admitHigh tests one drawn at random from the first few of the high tier, until none passes. It
+// returns those that wait.
+func (r *Router) admitHigh(high []*request) []*request {
+	for fails := 0; fails < window; {
+		var idx []int
+		for i := 0; i < len(high) && i < window; i++ {
+			if high[i].tested != r.pass {
+				idx = append(idx, i)
+			}
+		}
+		if len(idx) == 0 {
+			break
+		}
+		i := idx[r.rng.IntN(len(idx))]
+		q := high[i]
+		q.tested = r.pass
+		if r.admit(q, false) {
+			high = append(high[:i:i], high[i+1:]...)
+		} else {
+			fails++
+		}
+	}
+	return high
+}
+
+// admit finds a reader and a writer for a held request and starts the read. Readers after the
+// first are asked only when the one before cannot make the first-token time.
+func (r *Router) admit(q *request, untested bool) bool {
+	if q.sent+2 <= r.cfg.Limits.MaxAttempts {
+		for i, rd := range r.readers(q) {
+			t, _, _ := r.readTime(q, rd)
+			left := q.aim - r.now - t
+			if w := r.bestWriter(q, rd, left, untested, false); w != nil {
+				r.sendRead(q, rd, w)
+				return true
+			}
+			if w := (*engine)(nil); untested || i > 2 {
+				if w = r.bestWriter(q, rd, left, true, true); w != nil && untested {
+					r.sendRead(q, rd, w)
+					return true
+				}
+				break
+			}
+		}
+	}
+	return r.admitUnread(q, untested)
+}
+
+// admitUnread is a fallback: a mixed engine (or a writer, under local_read) reads the prompt itself.
+// It acts when no reader is in sight, one attempt is left, or no reader can make it in time.
+func (r *Router) admitUnread(q *request, untested bool) bool {
+	var best *engine
+	bestRoom := math.Inf(-1)
+	for _, e := range r.list {
+		if e.role == Read || e.role == Write && !r.cfg.LocalRead || !r.usable(e, false) || !r.maySend(q, e) ||
+			!r.coldRoom(q, e) {
+			continue
+		}
+		room, pass := r.room(e, q)
+		if e.role == Write {
+			room -= 1
+		}
+		if pass && room > bestRoom && (untested || r.now+r.lag(e)+q.PromptLen*2*firstSpt < q.aim) {
+			best, bestRoom = e, room
+		}
+	}
+	if best == nil {
+		return false
+	}
+	r.sendWrite(q, best, q.PromptLen*2*firstSpt)
+	return true
+}
+
+// placeParsed sends a waiting state to the admitted writer, or to another that passes, or lets go
+// of it in good time (rule 5).
+func (r *Router) placeParsed(q *request) {
+	late := q.holdSince + holdShare*r.cfg.Rules.LetGoBy
+	if w := q.writer; w != nil && r.usable(w, false) && r.maySend(q, w) && r.now >= w.fullTill {
+		r.sendWrite(q, w, 0)
+		return
+	}
+	w := r.bestWriter(q, q.reader, math.Inf(1), false, false)
+	if w == nil && q.low {
+		w = r.bestWriter(q, q.reader, math.Inf(1), true, false)
+	}
+	if w != nil {
+		r.sendWrite(q, w, 0)
+	} else if r.now >= late {
+		r.letGo(q)
+	}
+}
+
+// probe asks the engines in turn for their load where reports come in no other way, as often as
+// the price of a probe allows.
+func (r *Router) probe() {
+	if r.cfg.Report != ReportOnProbe || !r.cfg.Limits.Probe || len(r.list) == 0 || r.now < r.probeAt {
+		return
+	}
+	rate := max(0.5, r.arrivals/rateWindow)
+	r.probeAt = r.now + max(0.02, r.cfg.Prices.Probe/(probeBudget*rate))
+	for range r.list {
+		e := r.list[r.probeNext%len(r.list)]
+		r.probeNext++
+		if e.State == Ready && !e.probing && e.role != Read {
+			e.probing = true
+			r.do(Probe{e.ID})
+			return
+		}
+	}
+}
+
+// housekeeping keeps the subscription to the list and forgets idle sessions.
+func (r *Router) housekeeping() {
+	if r.cfg.OnRequest && r.now >= r.watchAt {
+		if !r.watching || r.watchAt == 0 {
+			r.do(Watch{true})
+		}
+		r.watchAt = r.now + max(0.5, min(2, r.cfg.Rules.AskEvery/4))
+	}
+	if r.now >= r.sweep {
+		r.sweep = r.now + idleSession/4
+		for k, s := range r.sessions {
+			if r.now-s.at > idleSession {
+				delete(r.sessions, k)
+			}
+		}
+	}
+}
+
+// arm sets one timer, for the earliest moment at which something is to be looked at.
+func (r *Router) arm() {
+	at := math.Inf(1)
+	for _, q := range r.open {
+		switch q.stage {
+		case held, parsed:
+			at = min(at, r.now+recheck)
+		case reading, writing:
+			at = min(at, q.deadline-r.margin())
+		}
+	}
+	if r.cfg.OnRequest {
+		at = min(at, r.watchAt)
+	}
+	if r.cfg.Report == ReportOnProbe && r.cfg.Limits.Probe && len(r.list) > 0 {
+		at = min(at, r.probeAt)
+	}
+	at = max(at, r.now+r.cfg.Tick)
+	if math.IsInf(at, 1) || r.timerAt > r.now && r.timerAt <= at {
+		return
+	}
+	r.timers++
+	r.timerAt = at
+	r.do(Timer{at, r.timers})
+}
