--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,48 +41,6 @@
 	idleSession = 60.0 // s after which a session is forgotten
 )
 
-// stage is where a request stands.
-type stage int
-
-const (
-	held    stage = iota // unread, no attempt out
-	reading              // an attempt is out at a reader
-	parsed               // its state waits at a reader, no attempt is out
-	writing              // an attempt is out at a writer, no token yet
-	flowing              // the answer streams
-)
-
-// request is an open request, or an ended one of which an attempt is still out. sent, out and
-// mayRun are the ledger of its attempts' possible effect.
-type request struct {
-	Request
-	class                  *Class
-	arrived, aim, deadline float64
-	over, low, done        bool // beyond its tenant's share; in the low tier; answered or given up
-	stage                  stage
-	sent, out              int     // attempts made; the number of the one out, or -1
-	mayRun                 bool    // an earlier attempt may have run
-	mayRunAt               float64 // when the first such was sent
-	mayRunOn               *engine // and where
-	reader, writer         *engine // of the attempt out or of the state; admitted to
-	hasHold                bool    // a state or place may be held for it
-	holdSince              float64 // time of the last outcome or reservation
-	sentAt, expect         float64 // of the attempt out, and how long we think it takes
-	tokens, load           float64 // uncached tokens to read; the same with those ahead of it
-	kept                   float64 // tokens that we think the reader has kept
-	flowAt                 float64
-	flowL                  int
-	far                    float64 // tokens of this request on a cell's link
-	tested                 int64   // decision pass in which it was last tested
-}
-
-// gauge is a running mean that returns to its prior while nothing is learned, so that an engine
-// or a link once slow is tried again.
-type gauge struct {
-	v, at float64
-	n     int
-}
-
 func (g *gauge) add(now, x, gain float64) {
 	if g.n == 0 {
 		gain = 1
@@ -97,14 +55,6 @@
 	return prior + (g.v-prior)*math.Exp(-(now-g.at)/forget)
 }
 
-// curve fits seconds a token at concurrency L as c0·(1 + σ(L−1) + κL(L−1)), the Universal
-// Scalability Law in its linear form, by least squares with forgetting; σ and κ start at zero.
-type curve struct {
-	a [3][3]float64
-	b [3]float64
-	c [3]float64 // the latest fit
-}
-
 func (k *curve) sample(l int, pace float64) {
 	x := [3]float64{1, float64(l - 1), float64(l) * float64(l-1)}
 	for i := range x {
@@ -142,82 +92,6 @@
 	return k.c[0] / (k.c[0] + k.c[1]*(x-1) + k.c[2]*x*(x-1))
 }
 
-// push is a send to a cold engine.
-type push struct{ at, weight float64 }
-
-// engine is what we know of one engine.
-type engine struct {
-	Engine
-	role              Role
-	mem               float64
-	reads, jobs       []*request // our reads out; our requests admitted or streaming
-	spt, lag          gauge      // s a token read; s from send to first token
-	pace              curve
-	kept              map[string]bool // shared beginnings that we saw read here
-	report            Report
-	reportAt          float64
-	err, backoff      float64
-	ejectedTill       float64
-	fullTill          float64
-	lastGood          float64
-	pushes            []push
-	probing, everSeen bool
-}
-
-// kindStats pools what engines of one kind have shown.
-type kindStats struct {
-	spt, lag gauge
-	pace     curve
-}
-
-// classStats is what we infer of a class's work.
-type classStats struct {
-	prompt, fresh, diff gauge
-}
-
-type session struct {
-	prompt, at float64
-	reader     *engine
-}
-
-type linkKey struct{ cell, zone int }
-
-// link is the way out of a cell to a zone; out is what we have on it.
-type link struct {
-	perTok   gauge
-	out      float64
-	badUntil float64
-}
-
-type bucket struct{ level, at float64 }
-
-// Router decides for one node. It is not safe for concurrent use.
-type Router struct {
-	cfg             Config
-	rng             *rand.Rand
-	now, started    float64
-	acts            []Action
-	engines         map[string]*engine
-	list            []*engine // in order of id
-	byID            map[string]*request
-	open            []*request // in order of arrival
-	kinds           []kindStats
-	classes         []classStats
-	sessions        map[string]session
-	links           map[linkKey]*link
-	buckets         []bucket
-	sentRate        [3]float64 // decayed weight of our sends by role, and arrivals
-	arrivals        float64
-	rateAt          float64
-	pass            int64
-	timerAt         float64
-	timers          int64
-	probeAt         float64
-	probeNext       int
-	watchAt, sweep  float64
-	watching, begun bool
-}
-
 // New returns a router, or an error that names the field of an impossible Config.
 func New(cfg Config, seed uint64) (*Router, error) {
 	if err := cfg.check(); err != nil {
@@ -523,7 +397,7 @@
 // answer is the best final answer that the ledger allows: a refusal tells the client that a
 // further try is harmless (rule 2).
 func (r *Router) answer(q *request) Action {
-	may := q.mayRun || q.stage == writing
+	may := q.mayRun || q.out >= 0
 	if q.class.Effect == Repeatable || !may || q.class.Effect == ByKey && q.class.Group == GroupAll {
 		return Refuse{ID: q.ID}
 	}
@@ -924,9 +798,9 @@
 	t, tokens, load := r.readTime(q, rd)
 	q.kept = r.keptAt(q, rd)
 	q.tokens, q.load, q.stage, q.reader = tokens, load, reading, rd
-	timeout := 0.0
+	timeout := max(r.cfg.Tick, q.deadline-r.now-2*r.margin()) // its outcome must come before our answer
 	if q.sent+3 < r.cfg.Limits.MaxAttempts || q.sent == 0 {
-		timeout = min(4*t+0.5, max(r.cfg.Tick, q.deadline-r.now))
+		timeout = min(4*t+0.5, timeout)
 	}
 	r.send(q, rd, t, timeout)
 	rd.reads = append(rd.reads, q)
