--- a/brain/brain.go
+++ b/brain/brain.go
@@ -11,6 +11,7 @@
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 )
 
@@ -25,6 +26,8 @@
 	firstSpt    = 5e-5 // s a token to read, until the first read ends
 	firstLag    = 0.1  // s from a writer's send to its first token, until one is seen
 	firstFar    = 2e-5 // s a token over a cell's link, until one is seen
+	lengths     = 64   // stream times kept for each class
+	firstShare  = 0.3  // of the most allowed that an answer is taken to have, until streams ended
 	ridge       = 4    // samples that a curve's prior is worth
 	memoryOf    = 0.98 // what a curve keeps of older samples at each new one
 	forget      = 5.0  // s after which a gauge has mostly returned to its prior
@@ -211,15 +214,7 @@
 	r.byID[ev.ID] = q
 	r.open = append(r.open, q)
 	r.arrivals++
-	s := &r.classes[ev.Class]
-	s.prompt.add(r.now, ev.PromptLen, 0.05)
-	if old, ok := r.sessions[ev.Session]; ok && !ev.Returned {
-		if d := ev.PromptLen - old.prompt; d > 0 {
-			s.diff.add(r.now, d, 0.05) // the last answer and the new text together
-		}
-	} else if !ev.Returned && !ev.Retry {
-		s.fresh.add(r.now, ev.PromptLen-ev.PrefixLen, 0.05)
-	}
+	r.classes[ev.Class].prompt.add(r.now, ev.PromptLen, 0.05)
 }
 
 // overShare charges a tenant's bucket: our part of its quota, with two seconds of slack.
@@ -241,21 +236,35 @@
 	return false
 }
 
-// answerTokens is our guess of an answer's length: the hint where there is one; else what a
-// session's next prompt grew by beyond what first prompts add; a quarter of the most allowed
-// until both were seen.
+// answerTokens is our guess of an answer's length: the hint where there is one; else the class's
+// mean part of the most allowed. The longest streams of a class are taken to have run into that
+// most; where none did the guess is too long, so the pace looks better than it is and admission
+// errs to the open side, never to shutting a writer out.
 func (r *Router) answerTokens(q *request) float64 {
 	if q.Hint > 0 && q.class.TokenAim > 0 {
 		return max(4, min(q.Hint/q.class.TokenAim, max(q.MaxOut, 4)))
 	}
-	s := &r.classes[q.Class]
-	guess := max(8, q.MaxOut/4)
-	if s.diff.n == 0 || s.fresh.n == 0 {
-		return guess
+	if s := &r.classes[q.Class]; s.share > 0 {
+		return max(4, q.MaxOut*s.share)
+	}
+	return max(4, q.MaxOut*firstShare)
+}
+
+// learnLength takes a stream's time, scaled to speed 1, into its class's guess.
+func (s *classStats) learnLength(t float64) {
+	s.times = append(s.times, t)
+	if len(s.times) > lengths {
+		s.times = s.times[1:]
+	}
+	if len(s.times) < lengths/4 {
+		return
+	}
+	xs := slices.Sorted(slices.Values(s.times))
+	sum := 0.0
+	for _, x := range xs {
+		sum += x
 	}
-	w := float64(s.diff.n) / float64(s.diff.n+10)
-	seen := max(guess/3, min(guess*3, s.diff.v-s.fresh.v))
-	return guess + w*(seen-guess)
+	s.share = sum / float64(len(xs)) / xs[len(xs)-1-len(xs)/20]
 }
 
 func (r *Router) first(ev First) {
@@ -488,6 +497,7 @@
 	l := max(1, (q.flowL+len(e.jobs))/2)
 	pace := (r.now - q.flowAt) / tokens
 	k := &r.kinds[e.Kind].pace
+	r.classes[q.Class].learnLength((r.now - q.flowAt) * r.curve(e).speed(l))
 	k.sample(l, pace)
 	k.fit(k.c)
 	e.pace.sample(l, pace)
@@ -681,7 +691,7 @@
 			}
 		}
 	}
-	if aim <= 0 {
+	if aim <= 0 || l == 1 { // an empty writer always takes one: a bad fit must be able to mend
 		return 1 / float64(l)
 	}
 	return 1 - k.c[0]/(paceSlack*aim)/k.speed(l)
--- a/brain/state.go
+++ b/brain/state.go
@@ -84,7 +84,9 @@
 
 // classStats is what we infer of a class's work.
 type classStats struct {
-	prompt, fresh, diff gauge
+	prompt gauge
+	times  []float64 // of the latest streams, scaled to speed 1
+	share  float64   // mean part of the most allowed that answers have
 }
 
 type session struct {
