--- a/brain/brain.go
+++ b/brain/brain.go
@@ -8,10 +8,7 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"math"
-	"math/rand/v2"
-	"slices"
 	"sort"
 )
 
@@ -28,6 +25,7 @@
 	firstFar    = 2e-5 // s a token over a cell's link, until one is seen
 	lengths     = 64   // stream times kept for each class
 	firstShare  = 0.3  // of the most allowed that an answer is taken to have, until streams ended
+	firstPace   = 0.4  // of the tightest pace aim that a lone stream is taken to need, likewise
 	ridge       = 4    // samples that a curve's prior is worth
 	memoryOf    = 0.98 // what a curve keeps of older samples at each new one
 	forget      = 5.0  // s after which a gauge has mostly returned to its prior
@@ -36,54 +34,23 @@
 	errTrial    = 0.25 // and above which it gets one request at a time
 	maxEject    = 4.0  // s, the longest ejection before the next trial
 	fullFor     = 0.3  // s that a writer which turned a request away counts as full
+	shunLink    = 2.0  // s for which a way on which a state was not found is not used
 	holdShare   = 0.5  // share of let_go_by for which a read state may wait for a writer
 	coldSafety  = 0.8  // share of the cold budget that we use
 	rateWindow  = 4.0  // s over which send and arrival rates are averaged
 	probeBudget = 5e-3 // points of the result that routine probes may cost
 	farReserve  = 0.1  // share of the time left that a move must take for a place to be reserved
+	shareSlack  = 2.0  // s of its share that a tenant may save up
 	idleSession = 60.0 // s after which a session is forgotten
 )
 
-func (g *gauge) add(now, x, gain float64) {
-	if g.n == 0 {
-		gain = 1
-	}
-	g.v, g.at, g.n = g.v+gain*(x-g.v), now, g.n+1
-}
-
-func (g *gauge) get(now, prior float64) float64 {
-	if g.n == 0 {
-		return prior
-	}
-	return prior + (g.v-prior)*math.Exp(-(now-g.at)/forget)
-}
-
-func (k *curve) sample(l int, pace float64) {
-	x := [3]float64{1, float64(l - 1), float64(l) * float64(l-1)}
-	for i := range x {
-		for j := range x {
-			k.a[i][j] = memoryOf*k.a[i][j] + x[i]*x[j]
-		}
-		k.b[i] = memoryOf*k.b[i] + x[i]*pace
-	}
-}
-
-// fit solves for non-negative coefficients, pulled to the prior where samples are few, by
-// projected coordinate descent. σ and κ are kept at or under 1.
+// fit solves for the law's terms, pulled to the prior where samples are few; σ and κ stay in [0, 1].
 func (k *curve) fit(prior [3]float64) {
-	c := prior
-	for sweep := 0; sweep < 40; sweep++ {
-		for i := range c {
-			s := k.b[i]
-			for j := range c {
-				if j != i {
-					s -= k.a[i][j] * c[j]
-				}
-			}
-			pull := ridge * (1 + k.a[i][i]/(1+k.a[0][0]))
-			c[i] = max(0, (s+pull*prior[i])/(k.a[i][i]+pull))
-		}
+	var pull [3]float64
+	for i := range pull {
+		pull[i] = ridge * (1 + k.a[i][i]/(1+k.a[0][0]))
 	}
+	c := solve(k.a, k.b, prior, pull)
 	c[0] = max(c[0], 1e-4)
 	c[1], c[2] = min(c[1], c[0]), min(c[2], c[0])
 	k.c = c
@@ -95,38 +62,26 @@
 	return k.c[0] / (k.c[0] + k.c[1]*(x-1) + k.c[2]*x*(x-1))
 }
 
-// New returns a router, or an error that names the field of an impossible Config.
-func New(cfg Config, seed uint64) (*Router, error) {
-	if err := cfg.check(); err != nil {
-		return nil, err
-	}
-	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		engines: map[string]*engine{}, byID: map[string]*request{}, sessions: map[string]session{},
-		links: map[linkKey]*link{}, kinds: make([]kindStats, len(cfg.Kinds)),
-		classes: make([]classStats, len(cfg.Classes)), buckets: make([]bucket, len(cfg.Tenants))}
-	aim := math.Inf(1)
-	for _, c := range cfg.Classes {
+// startCurves sets an optimistic start; the first streams that end correct it.
+func (r *Router) startCurves() {
+	aim := 1.0
+	for _, c := range r.cfg.Classes {
 		if c.TokenAim > 0 {
 			aim = min(aim, c.TokenAim)
 		}
 	}
-	for i := range r.kinds { // an optimistic start; the first streams that end correct it
-		r.kinds[i].pace.c = [3]float64{min(aim, 1) * 0.4, 0, 0}
+	for i := range r.kinds {
+		r.kinds[i].pace.c = [3]float64{aim * firstPace, 0, 0}
 	}
-	return r, nil
 }
 
 // Step takes what has happened up to now, in order, and returns what is to be done.
 func (r *Router) Step(now float64, events []Event) []Action {
 	if !r.begun {
-		r.begun, r.started, r.rateAt = true, now, now
+		r.begun, r.started = true, now
+		r.startCurves()
 	}
 	r.now, r.acts = max(now, r.now), nil
-	k := math.Exp(-(r.now - r.rateAt) / rateWindow)
-	r.rateAt, r.arrivals = r.now, r.arrivals*k
-	for i := range r.sentRate {
-		r.sentRate[i] *= k
-	}
 	for _, ev := range events {
 		switch ev := ev.(type) {
 		case Members:
@@ -179,20 +134,16 @@
 		}
 		e.Engine, e.role, e.mem = n, r.cfg.Kinds[n.Kind].Role, r.cfg.Kinds[n.Kind].Memory
 	}
-	if ev.Form != ListChanges {
-		for _, e := range r.list {
-			if !seen[e.ID] {
-				e.State = Removed
-			}
-		}
-	}
 	keep := r.list[:0]
 	for _, e := range r.list {
+		if ev.Form != ListChanges && !seen[e.ID] {
+			e.State = Removed
+		}
 		if e.State == Removed && len(e.reads)+len(e.jobs) == 0 {
 			delete(r.engines, e.ID)
-			continue
+		} else {
+			keep = append(keep, e)
 		}
-		keep = append(keep, e)
 	}
 	r.list = keep
 	sort.Slice(r.list, func(i, j int) bool { return r.list[i].ID < r.list[j].ID })
@@ -210,32 +161,16 @@
 	c := &r.cfg.Classes[ev.Class]
 	q := &request{Request: ev, class: c, arrived: r.now, out: -1, deadline: r.now + ev.TimeLeft}
 	q.aim = r.now + c.Aim + c.AimPerK*ev.PromptLen/1000 + c.AimStretch*ev.Hint
-	q.over = r.overShare(ev.Tenant)
+	if ev.Tenant >= 0 && ev.Tenant < len(r.buckets) && r.cfg.Tenants[ev.Tenant].Quota > 0 {
+		rate := r.cfg.Tenants[ev.Tenant].Quota / float64(r.cfg.Balancers) // our part of its share
+		q.over = !r.buckets[ev.Tenant].take(r.now, rate, shareSlack*rate)
+	}
 	r.byID[ev.ID] = q
 	r.open = append(r.open, q)
-	r.arrivals++
+	r.arrivals.add(r.now, 1, rateWindow)
 	r.classes[ev.Class].prompt.add(r.now, ev.PromptLen, 0.05)
 }
 
-// overShare charges a tenant's bucket: our part of its quota, with two seconds of slack.
-func (r *Router) overShare(tenant int) bool {
-	if tenant < 0 || tenant >= len(r.buckets) || r.cfg.Tenants[tenant].Quota <= 0 {
-		return false
-	}
-	b, rate := &r.buckets[tenant], r.cfg.Tenants[tenant].Quota/float64(r.cfg.Balancers)
-	if b.at == 0 {
-		b.level = 2 * rate
-	} else {
-		b.level = min(2*rate, b.level+rate*(r.now-b.at))
-	}
-	b.at = r.now
-	if b.level < 1 {
-		return true
-	}
-	b.level--
-	return false
-}
-
 // answerTokens is our guess of an answer's length: the hint where there is one; else the class's
 // mean part of the most allowed. The longest streams of a class are taken to have run into that
 // most; where none did the guess is too long, so the pace looks better than it is and admission
@@ -259,12 +194,7 @@
 	if len(s.times) < lengths/4 {
 		return
 	}
-	xs := slices.Sorted(slices.Values(s.times))
-	sum := 0.0
-	for _, x := range xs {
-		sum += x
-	}
-	s.share = sum / float64(len(xs)) / xs[len(xs)-1-len(xs)/20]
+	s.share = meanOver(s.times, 0.95)
 }
 
 func (r *Router) first(ev First) {
@@ -287,8 +217,8 @@
 
 // outcome ends an attempt and files what it tells.
 func (r *Router) outcome(ev Outcome) {
-	if e := r.engines[ev.Engine]; e != nil {
-		r.takeReport(e, ev.Report)
+	if e := r.engines[ev.Engine]; e != nil && ev.Report != nil {
+		e.report, e.reportAt = *ev.Report, r.now
 	}
 	q := r.byID[ev.ID]
 	if q == nil || q.out != ev.Attempt {
@@ -311,8 +241,10 @@
 	case Served:
 		r.learnStream(q, e)
 	case TurnedAway:
-		if ev.Info == 1 {
-			r.stateLost(q, e)
+		if ev.Info == 1 { // its reader restarted or cannot be reached from there: shun that way a while
+			if q.reader != nil && q.reader.Cell != e.Cell {
+				r.link(q.reader, e).badUntil = r.now + shunLink
+			}
 		} else {
 			e.fullTill = r.now + fullFor
 			if was == writing && q.hasHold {
@@ -334,16 +266,16 @@
 			}
 		}
 	}
-	if ev.Closed && !q.done {
-		r.end(q)
-	}
-	if q.stage != parsed || q.done {
+	switch {
+	case ev.Closed && !q.done:
+		r.finish(q, nil)
+	case q.done:
 		r.letGo(q)
-	} else if was == writing {
-		r.unadmit(q)
-	}
-	if q.done {
 		delete(r.byID, q.ID)
+	case q.stage != parsed:
+		r.letGo(q)
+	case was == writing:
+		r.unadmit(q)
 	}
 }
 
@@ -367,39 +299,24 @@
 	}
 }
 
-func without(xs []*request, q *request) []*request {
-	for i, x := range xs {
-		if x == q {
-			return append(xs[:i:i], xs[i+1:]...)
-		}
-	}
-	return xs
-}
-
-// end closes our books on a request; those of an attempt still out stay.
-func (r *Router) end(q *request) {
-	q.done = true
-	r.open = without(r.open, q)
-}
-
-// finish gives the final answer (none after Gone), calls off what is out and lets go of the rest.
+// finish gives the final answer (none where the client has it or has left), calls off what is out
+// and lets go of the rest. The books on an attempt still out stay open until its outcome.
 func (r *Router) finish(q *request, answer Action) {
 	if answer != nil {
 		r.do(answer)
 	}
-	r.end(q)
+	q.done = true
+	r.open = without(r.open, q)
 	if q.out < 0 {
 		r.letGo(q)
 		delete(r.byID, q.ID)
 		return
 	}
-	if q.stage != flowing {
-		if r.cfg.Limits.Cancel {
-			r.do(Cancel{q.ID, q.out})
-		}
-		if q.hasHold {
-			r.do(Release{q.ID}) // a place reserved beside the read
-		}
+	if q.stage != flowing && r.cfg.Limits.Cancel {
+		r.do(Cancel{q.ID, q.out})
+	}
+	if q.stage == reading && q.hasHold {
+		r.do(Release{q.ID}) // a place reserved beside the read
 	}
 }
 
@@ -422,7 +339,8 @@
 		return false
 	}
 	g := q.class.Group
-	return g == GroupAll || g == GroupZone && e.Zone == q.mayRunOn.Zone || g == GroupCell && e.Cell == q.mayRunOn.Cell
+	return g == GroupAll || g == GroupZone && e.Zone == q.mayRunOn.Zone ||
+		g == GroupCell && e.Cell == q.mayRunOn.Cell
 }
 
 // judge moves an engine's failure score. Two failures in a row eject it, whatever their cause:
@@ -448,21 +366,15 @@
 	}
 }
 
-func (r *Router) takeReport(e *engine, rep *Report) {
-	if rep != nil {
-		e.report, e.reportAt = *rep, r.now
-	}
-}
-
 func (r *Router) probed(ev Probed) {
 	e := r.engines[ev.Engine]
 	if e == nil {
 		return
 	}
 	e.probing = false
-	if ev.Status == Served {
-		r.takeReport(e, ev.Report)
-	} else if ev.Status == NoConnection || ev.Status == NoAnswer || ev.Status == ConnectionLost {
+	if ev.Report != nil {
+		e.report, e.reportAt = *ev.Report, r.now
+	} else if ev.Status != Served && ev.Status != TurnedAway {
 		r.judge(e, 1)
 	}
 }
@@ -479,10 +391,7 @@
 	if q.Session != "" {
 		r.sessions[q.Session] = session{q.PromptLen, r.now, e}
 	}
-	if float64(ev.Info) < q.kept/2 { // others' beginnings went too: learn them anew
-		clear(e.kept)
-	}
-	if len(e.kept) > 4096 {
+	if float64(ev.Info) < q.kept/2 || len(e.kept) > 4096 { // others' beginnings went too: learn them anew
 		clear(e.kept)
 	}
 	r.judge(e, 0)
@@ -498,89 +407,67 @@
 	pace := (r.now - q.flowAt) / tokens
 	k := &r.kinds[e.Kind].pace
 	r.classes[q.Class].learnLength((r.now - q.flowAt) * r.curve(e).speed(l))
-	k.sample(l, pace)
+	k.sample(l, pace, memoryOf)
 	k.fit(k.c)
-	e.pace.sample(l, pace)
+	e.pace.sample(l, pace, memoryOf)
 	e.pace.fit(k.c)
 }
 
-// stateLost: the writer found no state. The reader restarted, or the two cannot reach each other:
-// that way is not used for a while.
-func (r *Router) stateLost(q *request, w *engine) {
-	if q.reader != nil && q.reader.Cell != w.Cell {
-		r.link(q.reader, w).badUntil = r.now + 2
-	}
-}
-
-func (r *Router) link(from, to *engine) *link {
-	k := linkKey{from.Cell, to.Zone}
-	l := r.links[k]
-	if l == nil {
-		l = &link{}
-		r.links[k] = l
-	}
-	return l
-}
-
-// usable tells whether an engine may be sent something new: listed ready (rule 3), not ejected,
-// one trial at a time while its failure score is high, not silent, and within a cold budget.
-func (r *Router) usable(e *engine, desperate bool) bool {
-	if e.State != Ready {
-		return false
-	}
-	if desperate {
-		return true
-	}
-	if r.now < e.ejectedTill || r.silent(e) {
+// trusted tells whether an engine is fit for new work: not ejected, one trial at a time while its
+// failure score is high, and not silent: nothing good came since we sent what should long have been
+// answered. Silence covers a dead machine, a cut zone and a stuck process before a time-out tells.
+func (r *Router) trusted(e *engine) bool {
+	if r.now < e.ejectedTill {
 		return false
 	}
-	return e.err < errTrial || waiting(e) == 0
-}
-
-// waiting counts our attempts at an engine that have not shown a sign of life.
-func waiting(e *engine) int {
-	n := len(e.reads)
-	for _, q := range e.jobs {
-		if q.stage != flowing {
-			n++
+	waiting := 0
+	for _, xs := range [2][]*request{e.reads, e.jobs} {
+		for _, q := range xs {
+			if q.stage == reading && q.reader == e || q.stage == writing {
+				waiting++
+				if r.now-q.sentAt > 3*q.expect+0.3 && e.lastGood < q.sentAt {
+					return false
+				}
+			}
 		}
 	}
-	return n
+	return e.err < errTrial || waiting == 0
 }
 
-// silent: nothing good came since an attempt that should long have been answered was sent. It
-// covers a dead machine, a cut zone and a stuck process before any time-out tells.
-func (r *Router) silent(e *engine) bool {
-	for _, xs := range [2][]*request{e.reads, e.jobs} {
-		for _, q := range xs {
-			if (q.stage == reading && q.reader == e || q.stage == writing) &&
-				r.now-q.sentAt > 3*q.expect+0.3 && e.lastGood < q.sentAt {
-				return true
-			}
+// pool returns the engines that may be sent something new and that fit: those listed ready (rule
+// 3) and trusted; where none is trusted, the one that failed least.
+func (r *Router) pool(fit func(e *engine) bool) []*engine {
+	var good []*engine
+	var last *engine
+	for _, e := range r.list {
+		if e.State != Ready || !fit(e) {
+			continue
+		}
+		if r.trusted(e) {
+			good = append(good, e)
+		} else if last == nil || e.err < last.err || e.err == last.err && e.ejectedTill < last.ejectedTill {
+			last = e
 		}
 	}
-	return false
+	if len(good) == 0 && last != nil {
+		good = []*engine{last}
+	}
+	return good
 }
 
 func (r *Router) spt(e *engine) float64 {
-	base := r.kinds[e.Kind].spt.v
-	if base == 0 {
-		base = firstSpt
-	}
+	base := r.kinds[e.Kind].spt.get(r.now, firstSpt, 0)
 	if e.spt.n == 0 && r.cold(e) {
 		return base / max(0.1, r.cfg.Rules.ColdShare)
 	}
-	return e.spt.get(r.now, base)
+	return e.spt.get(r.now, base, forget)
 }
 
 func (r *Router) lag(e *engine) float64 {
-	base := firstLag
-	if g := r.kinds[e.Kind].lag; g.n > 0 {
-		base = g.v
-	}
-	return e.lag.get(r.now, base)
+	return e.lag.get(r.now, r.kinds[e.Kind].lag.get(r.now, firstLag, 0), forget)
 }
 
+// curve is the writer's own fit, or its kind's until a stream of ours has ended there.
 func (r *Router) curve(e *engine) *curve {
 	if e.pace.c[0] == 0 {
 		return &r.kinds[e.Kind].pace
@@ -616,14 +503,11 @@
 			warm++
 		}
 	}
-	rate := r.sentRate[e.role] / rateWindow / float64(max(1, warm))
-	used := r.weight(q, e.role)
-	for _, p := range e.pushes {
-		if p.at > r.now-r.cfg.Rules.TipAfter {
-			used += p.weight
-		}
-	}
-	return used <= coldSafety*r.cfg.Rules.FallMultiple*r.cfg.Rules.ColdShare*rate*r.cfg.Rules.TipAfter
+	rate := r.sends[e.role].get(r.now, rateWindow) / float64(max(1, warm))
+	var used float64
+	e.pushes, used = since(e.pushes, r.now-r.cfg.Rules.TipAfter)
+	u := &r.cfg.Rules
+	return used+r.weight(q, e.role) <= coldSafety*u.FallMultiple*u.ColdShare*u.TipAfter*rate
 }
 
 // keptAt guesses how much of a prompt a reader has kept.
@@ -654,7 +538,7 @@
 		return 0
 	}
 	l := r.link(from, to)
-	return (l.out + q.PromptLen) * l.perTok.get(r.now, firstFar)
+	return (l.out + q.PromptLen) * l.perTok.get(r.now, firstFar, forget)
 }
 
 // memUsed is the share of a writer's memory taken, by its report and by what we sent since; of
@@ -706,22 +590,19 @@
 
 // bestWriter returns the writer with most room: of the reader's cell, else of another. With
 // untested set, the curve and the first-token time are not asked.
-func (r *Router) bestWriter(q *request, from *engine, left float64, untested, desperate bool) *engine {
+func (r *Router) bestWriter(q *request, from *engine, left float64, untested bool) *engine {
 	var near, far *engine
 	nearRoom, farRoom := math.Inf(-1), math.Inf(-1)
-	for _, e := range r.list {
-		if e.role == Read || !r.usable(e, desperate) || !r.maySend(q, e) || q.writer != e && !r.coldRoom(q, e) {
-			continue
-		}
-		if from.Cell != e.Cell && r.now < r.link(from, e).badUntil {
-			continue
-		}
+	for _, e := range r.pool(func(e *engine) bool {
+		return e.role != Read && r.maySend(q, e) && (q.writer == e || r.coldRoom(q, e)) &&
+			(from.Cell == e.Cell || r.now >= r.link(from, e).badUntil)
+	}) {
 		room, pass := r.room(e, q)
-		if !untested && (!pass || r.lag(e)+r.moveTime(q, from, e) > left) {
-			continue
-		}
-		if untested && !pass {
+		switch {
+		case untested && !pass:
 			room -= 2 // overfull ones last
+		case !untested && (!pass || r.lag(e)+r.moveTime(q, from, e) > left):
+			continue
 		}
 		if from.Cell == e.Cell {
 			if room > nearRoom {
@@ -745,42 +626,21 @@
 // readers returns the usable readers in rendezvous order of the shared beginning (the session
 // where there is none), the same at every router; those with twice the mean of our reads go last.
 func (r *Router) readers(q *request) []*engine {
-	var xs []*engine
-	for _, desperate := range [2]bool{false, true} {
-		for _, e := range r.list {
-			if e.role == Read && r.usable(e, desperate) && r.coldRoom(q, e) {
-				xs = append(xs, e)
-			}
-		}
-		if len(xs) > 0 {
-			break
-		}
-	}
-	key := q.Prefix
+	xs := r.pool(func(e *engine) bool { return e.role == Read && r.coldRoom(q, e) })
+	key, total := q.Prefix, 0
 	if key == "" {
 		key = q.Session
 	}
-	total := 0
 	for _, e := range xs {
 		total += len(e.reads)
 	}
 	limit := max(2, homeFactor*float64(total)/float64(max(1, len(xs))))
-	score := make(map[*engine]uint64, len(xs))
-	for _, e := range xs {
-		h := fnv.New64a()
-		h.Write([]byte(e.ID))
-		h.Write([]byte(key))
-		s := h.Sum64()
-		s ^= s >> 31
-		s *= 0x9e3779b97f4a7c15 // spread: similar ids must not rank alike
-		score[e] = s ^ s>>29
-	}
 	sort.Slice(xs, func(i, j int) bool {
 		bi, bj := float64(len(xs[i].reads)) >= limit, float64(len(xs[j].reads)) >= limit
 		if bi != bj {
 			return bj
 		}
-		return score[xs[i]] > score[xs[j]]
+		return rank(key, xs[i].ID) > rank(key, xs[j].ID)
 	})
 	return xs
 }
@@ -789,15 +649,9 @@
 func (r *Router) send(q *request, e *engine, expect, timeout float64) {
 	r.do(Send{q.ID, e.ID, timeout})
 	w := r.weight(q, e.role)
-	r.sentRate[e.role] += w
+	r.sends[e.role].add(r.now, w, rateWindow)
 	if r.cold(e) {
-		keep := e.pushes[:0]
-		for _, p := range e.pushes {
-			if p.at > r.now-r.cfg.Rules.TipAfter {
-				keep = append(keep, p)
-			}
-		}
-		e.pushes = append(keep, push{r.now, w})
+		e.pushes = append(e.pushes, push{r.now, w})
 	}
 	q.out, q.sentAt, q.expect = q.sent, r.now, expect
 	q.sent++
@@ -853,30 +707,26 @@
 func (r *Router) decide() {
 	r.pass++
 	r.housekeeping()
-	var high, low []*request
+	var tiers [2][]*request
 	for _, q := range append([]*request(nil), r.open...) {
-		if q.stage == flowing {
-			continue
-		}
-		if r.expire(q) {
+		if q.stage == flowing || r.expire(q) {
 			continue
 		}
 		if q.stage == parsed {
 			r.placeParsed(q)
 		}
-		if q.stage == held && !q.done {
+		if q.stage == held {
+			tier := 0
 			if q.low {
-				low = append(low, q)
-			} else {
-				high = append(high, q)
+				tier = 1
 			}
+			tiers[tier] = append(tiers[tier], q)
 		}
 	}
-	byDeadline(high)
-	high = r.admitHigh(high)
-	if len(high) == 0 {
-		byDeadline(low)
-		for _, q := range low {
+	byDeadline(tiers[0])
+	if len(r.admitHigh(tiers[0])) == 0 {
+		byDeadline(tiers[1])
+		for _, q := range tiers[1] {
 			r.admit(q, true)
 		}
 	}
@@ -939,7 +789,7 @@
 // admitHigh tests one drawn at random from the first few of the high tier, until none passes. It
 // returns those that wait.
 func (r *Router) admitHigh(high []*request) []*request {
-	for fails := 0; fails < window; {
+	for fails := 0; fails < window; fails++ {
 		var idx []int
 		for i := 0; i < len(high) && i < window; i++ {
 			if high[i].tested != r.pass {
@@ -950,12 +800,10 @@
 			break
 		}
 		i := idx[r.rng.IntN(len(idx))]
-		q := high[i]
-		q.tested = r.pass
-		if r.admit(q, false) {
+		high[i].tested = r.pass
+		if r.admit(high[i], false) {
 			high = append(high[:i:i], high[i+1:]...)
-		} else {
-			fails++
+			fails--
 		}
 	}
 	return high
@@ -967,16 +815,11 @@
 	if q.sent+2 <= r.cfg.Limits.MaxAttempts {
 		for i, rd := range r.readers(q) {
 			t, _, _ := r.readTime(q, rd)
-			left := q.aim - r.now - t
-			if w := r.bestWriter(q, rd, left, untested, false); w != nil {
+			if w := r.bestWriter(q, rd, q.aim-r.now-t, untested); w != nil {
 				r.sendRead(q, rd, w)
 				return true
 			}
-			if w := (*engine)(nil); untested || i > 2 {
-				if w = r.bestWriter(q, rd, left, true, true); w != nil && untested {
-					r.sendRead(q, rd, w)
-					return true
-				}
+			if i == 2 {
 				break
 			}
 		}
@@ -988,54 +831,49 @@
 // It acts when no reader is in sight, one attempt is left, or no reader can make it in time.
 func (r *Router) admitUnread(q *request, untested bool) bool {
 	var best *engine
-	bestRoom := math.Inf(-1)
-	for _, e := range r.list {
-		if e.role == Read || e.role == Write && !r.cfg.LocalRead || !r.usable(e, false) || !r.maySend(q, e) ||
-			!r.coldRoom(q, e) {
-			continue
-		}
+	bestRoom, read := math.Inf(-1), q.PromptLen*2*firstSpt
+	for _, e := range r.pool(func(e *engine) bool {
+		return (e.role == Mixed || e.role == Write && r.cfg.LocalRead) && r.maySend(q, e) && r.coldRoom(q, e)
+	}) {
 		room, pass := r.room(e, q)
 		if e.role == Write {
-			room -= 1
+			room--
 		}
-		if pass && room > bestRoom && (untested || r.now+r.lag(e)+q.PromptLen*2*firstSpt < q.aim) {
+		if pass && room > bestRoom && (untested || r.now+r.lag(e)+read < q.aim) {
 			best, bestRoom = e, room
 		}
 	}
-	if best == nil {
-		return false
+	if best != nil {
+		r.sendWrite(q, best, read)
 	}
-	r.sendWrite(q, best, q.PromptLen*2*firstSpt)
-	return true
+	return best != nil
 }
 
 // placeParsed sends a waiting state to the admitted writer, or to another that passes, or lets go
 // of it in good time (rule 5).
 func (r *Router) placeParsed(q *request) {
-	late := q.holdSince + holdShare*r.cfg.Rules.LetGoBy
-	if w := q.writer; w != nil && r.usable(w, false) && r.maySend(q, w) && r.now >= w.fullTill {
-		r.sendWrite(q, w, 0)
-		return
-	}
-	w := r.bestWriter(q, q.reader, math.Inf(1), false, false)
-	if w == nil && q.low {
-		w = r.bestWriter(q, q.reader, math.Inf(1), true, false)
+	w := q.writer
+	if w == nil || w.State != Ready || !r.trusted(w) || !r.maySend(q, w) || r.now < w.fullTill {
+		w = r.bestWriter(q, q.reader, math.Inf(1), q.low)
 	}
 	if w != nil {
 		r.sendWrite(q, w, 0)
-	} else if r.now >= late {
+	} else if r.now >= q.holdSince+holdShare*r.cfg.Rules.LetGoBy {
 		r.letGo(q)
 	}
 }
 
-// probe asks the engines in turn for their load where reports come in no other way, as often as
-// the price of a probe allows.
+// probes tells whether probes are to be made: only where reports come in no other way.
+func (r *Router) probes() bool {
+	return r.cfg.Report == ReportOnProbe && r.cfg.Limits.Probe && len(r.list) > 0
+}
+
+// probe asks the writers in turn for their load, as often as the price of a probe allows.
 func (r *Router) probe() {
-	if r.cfg.Report != ReportOnProbe || !r.cfg.Limits.Probe || len(r.list) == 0 || r.now < r.probeAt {
+	if !r.probes() || r.now < r.probeAt {
 		return
 	}
-	rate := max(0.5, r.arrivals/rateWindow)
-	r.probeAt = r.now + max(0.02, r.cfg.Prices.Probe/(probeBudget*rate))
+	r.probeAt = r.now + max(0.02, r.cfg.Prices.Probe/(probeBudget*max(0.5, r.arrivals.get(r.now, rateWindow))))
 	for range r.list {
 		e := r.list[r.probeNext%len(r.list)]
 		r.probeNext++
@@ -1069,24 +907,22 @@
 func (r *Router) arm() {
 	at := math.Inf(1)
 	for _, q := range r.open {
-		switch q.stage {
-		case held, parsed:
+		if q.stage == held || q.stage == parsed {
 			at = min(at, r.now+recheck)
-		case reading, writing:
+		} else if q.stage != flowing {
 			at = min(at, q.deadline-r.margin())
 		}
 	}
 	if r.cfg.OnRequest {
 		at = min(at, r.watchAt)
 	}
-	if r.cfg.Report == ReportOnProbe && r.cfg.Limits.Probe && len(r.list) > 0 {
+	if r.probes() {
 		at = min(at, r.probeAt)
 	}
 	at = max(at, r.now+r.cfg.Tick)
-	if math.IsInf(at, 1) || r.timerAt > r.now && r.timerAt <= at {
-		return
+	if !math.IsInf(at, 1) && (r.timerAt <= r.now || r.timerAt > at) {
+		r.timers++
+		r.timerAt = at
+		r.do(Timer{at, r.timers})
 	}
-	r.timers++
-	r.timerAt = at
-	r.do(Timer{at, r.timers})
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -1,6 +1,11 @@
 package brain
 
-import "math/rand/v2"
+import (
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
 
 // This file holds the types of a router's state. Nothing is decided here; brain.go decides.
 
@@ -120,9 +125,8 @@
 	sessions        map[string]session
 	links           map[linkKey]*link
 	buckets         []bucket
-	sentRate        [3]float64 // decayed weight of our sends by role, and arrivals
-	arrivals        float64
-	rateAt          float64
+	sends           [3]rate // weight of our sends by role
+	arrivals        rate
 	pass            int64
 	timerAt         float64
 	timers          int64
@@ -131,3 +135,137 @@
 	watchAt, sweep  float64
 	watching, begun bool
 }
+
+func (g *gauge) add(now, x, gain float64) {
+	if g.n == 0 {
+		gain = 1
+	}
+	g.v, g.at, g.n = g.v+gain*(x-g.v), now, g.n+1
+}
+
+// get returns the mean, drawn to the prior with the time constant given; 0 = never.
+func (g *gauge) get(now, prior, forget float64) float64 {
+	if g.n == 0 {
+		return prior
+	}
+	if forget <= 0 {
+		return g.v
+	}
+	return prior + (g.v-prior)*math.Exp(-(now-g.at)/forget)
+}
+
+// rate is a decaying sum, divided by its time constant.
+type rate struct{ sum, at float64 }
+
+func (x *rate) add(now, weight, span float64) {
+	x.sum, x.at = x.sum*math.Exp(-(now-x.at)/span)+weight, now
+}
+
+func (x *rate) get(now, span float64) float64 { return x.sum * math.Exp(-(now-x.at)/span) / span }
+
+// without returns xs less q, in a new slice.
+func without(xs []*request, q *request) []*request {
+	for i, x := range xs {
+		if x == q {
+			return append(xs[:i:i], xs[i+1:]...)
+		}
+	}
+	return xs
+}
+
+// rank hashes a key and an engine for rendezvous; similar ids do not rank alike.
+func rank(key, id string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	h.Write([]byte(key))
+	s := h.Sum64()
+	s = (s ^ s>>31) * 0x9e3779b97f4a7c15
+	return s ^ s>>29
+}
+
+// sample adds the pace seen at concurrency l; older samples keep the share given.
+func (k *curve) sample(l int, pace, keep float64) {
+	x := [3]float64{1, float64(l - 1), float64(l) * float64(l-1)}
+	for i := range x {
+		for j := range x {
+			k.a[i][j] = keep*k.a[i][j] + x[i]*x[j]
+		}
+		k.b[i] = keep*k.b[i] + x[i]*pace
+	}
+}
+
+// solve finds non-negative c with a·c = b in the least-squares sense, each term pulled to its
+// prior with a weight, by projected coordinate descent.
+func solve(a [3][3]float64, b, prior, pull [3]float64) [3]float64 {
+	c := prior
+	for sweep := 0; sweep < 40; sweep++ {
+		for i := range c {
+			s := b[i]
+			for j := range c {
+				if j != i {
+					s -= a[i][j] * c[j]
+				}
+			}
+			c[i] = max(0, (s+pull[i]*prior[i])/(a[i][i]+pull[i]))
+		}
+	}
+	return c
+}
+
+// take draws one from a bucket that fills at a rate up to a size; false = it is empty.
+func (b *bucket) take(now, rate, size float64) bool {
+	if b.at == 0 {
+		b.level = size
+	} else {
+		b.level = min(size, b.level+rate*(now-b.at))
+	}
+	b.at = now
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
+
+// since drops the pushes up to a time and returns the rest and their weight.
+func since(ps []push, t float64) (rest []push, weight float64) {
+	for _, p := range ps {
+		if p.at > t {
+			rest, weight = append(rest, p), weight+p.weight
+		}
+	}
+	return rest, weight
+}
+
+// meanOver returns the mean of xs over their value at a quantile.
+func meanOver(xs []float64, quantile float64) float64 {
+	ys := slices.Sorted(slices.Values(xs))
+	sum := 0.0
+	for _, y := range ys {
+		sum += y
+	}
+	return sum / float64(len(ys)) / ys[int(quantile*float64(len(ys)-1))]
+}
+
+// link returns the way out of an engine's cell to another's zone.
+func (r *Router) link(from, to *engine) *link {
+	k := linkKey{from.Cell, to.Zone}
+	l := r.links[k]
+	if l == nil {
+		l = &link{}
+		r.links[k] = l
+	}
+	return l
+}
+
+// New returns a router, or an error that names the field of an impossible Config.
+func New(cfg Config, seed uint64) (*Router, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		engines: map[string]*engine{}, byID: map[string]*request{}, sessions: map[string]session{},
+		links: map[linkKey]*link{}, kinds: make([]kindStats, len(cfg.Kinds)),
+		classes: make([]classStats, len(cfg.Classes)), buckets: make([]bucket, len(cfg.Tenants))}
+	return r, nil
+}
