--- a/brain/brain.go
+++ b/brain/brain.go
@@ -185,18 +185,6 @@
 	return max(4, q.MaxOut*firstShare)
 }
 
-// learnLength takes a stream's time, scaled to speed 1, into its class's guess.
-func (s *classStats) learnLength(t float64) {
-	s.times = append(s.times, t)
-	if len(s.times) > lengths {
-		s.times = s.times[1:]
-	}
-	if len(s.times) < lengths/4 {
-		return
-	}
-	s.share = meanOver(s.times, 0.95)
-}
-
 func (r *Router) first(ev First) {
 	q := r.byID[ev.ID]
 	if q == nil || q.out != ev.Attempt || q.stage != writing {
@@ -406,7 +394,12 @@
 	l := max(1, (q.flowL+len(e.jobs))/2)
 	pace := (r.now - q.flowAt) / tokens
 	k := &r.kinds[e.Kind].pace
-	r.classes[q.Class].learnLength((r.now - q.flowAt) * r.curve(e).speed(l))
+	s := &r.classes[q.Class]
+	s.times = append(s.times, (r.now-q.flowAt)*r.curve(e).speed(l))
+	s.times = s.times[max(0, len(s.times)-lengths):]
+	if len(s.times) >= lengths/4 {
+		s.share = meanOver(s.times, 0.95)
+	}
 	k.sample(l, pace, memoryOf)
 	k.fit(k.c)
 	e.pace.sample(l, pace, memoryOf)
@@ -591,36 +584,30 @@
 // bestWriter returns the writer with most room: of the reader's cell, else of another. With
 // untested set, the curve and the first-token time are not asked.
 func (r *Router) bestWriter(q *request, from *engine, left float64, untested bool) *engine {
-	var near, far *engine
-	nearRoom, farRoom := math.Inf(-1), math.Inf(-1)
+	var best *engine
+	most := math.Inf(-1)
 	for _, e := range r.pool(func(e *engine) bool {
 		return e.role != Read && r.maySend(q, e) && (q.writer == e || r.coldRoom(q, e)) &&
 			(from.Cell == e.Cell || r.now >= r.link(from, e).badUntil)
 	}) {
 		room, pass := r.room(e, q)
-		switch {
-		case untested && !pass:
-			room -= 2 // overfull ones last
-		case !untested && (!pass || r.lag(e)+r.moveTime(q, from, e) > left):
+		if !untested && (!pass || r.lag(e)+r.moveTime(q, from, e) > left) {
 			continue
 		}
-		if from.Cell == e.Cell {
-			if room > nearRoom {
-				near, nearRoom = e, room
-			}
-			continue
+		if !pass {
+			room -= 100 // overfull ones last of all
 		}
-		if e.Zone != from.Zone {
+		if from.Cell != e.Cell {
+			room -= 10 // another cell only when none passes in this one
+		}
+		if from.Zone != e.Zone {
 			room -= 0.5
 		}
-		if room > farRoom {
-			far, farRoom = e, room
+		if room > most {
+			best, most = e, room
 		}
 	}
-	if near != nil {
-		return near
-	}
-	return far
+	return best
 }
 
 // readers returns the usable readers in rendezvous order of the shared beginning (the session
@@ -705,7 +692,6 @@
 
 // decide is the one decision pass of a step.
 func (r *Router) decide() {
-	r.pass++
 	r.housekeeping()
 	var tiers [2][]*request
 	for _, q := range append([]*request(nil), r.open...) {
@@ -747,21 +733,18 @@
 // drops to the low tier one that can no longer start in time.
 func (r *Router) expire(q *request) bool {
 	best := r.bestCase(q)
+	due := q.deadline - r.margin()
 	if q.out < 0 {
-		stuck := q.sent >= r.cfg.Limits.MaxAttempts || q.mayRun && q.class.Effect == Once ||
-			q.mayRun && q.class.Effect == ByKey && r.now > q.mayRunAt+q.class.KeyTTL-2*r.cfg.Tick
-		if stuck || r.now >= q.deadline-max(r.margin(), min(best, 0.5*q.TimeLeft)) {
-			r.finish(q, r.answer(q))
-			return true
+		due = min(due, q.deadline-min(best, 0.5*q.TimeLeft))
+		if q.sent >= r.cfg.Limits.MaxAttempts || q.mayRun && !r.maySend(q, q.mayRunOn) {
+			due = r.now
 		}
-	} else if r.now >= q.deadline-r.margin() {
-		r.finish(q, r.answer(q))
-		return true
 	}
-	if !q.low && r.now+best > q.aim {
-		q.low = true
+	q.low = q.low || r.now+best > q.aim
+	if r.now >= due {
+		r.finish(q, r.answer(q))
 	}
-	return false
+	return q.done
 }
 
 // bestCase is the least time in which a first token could still come.
@@ -789,22 +772,14 @@
 // admitHigh tests one drawn at random from the first few of the high tier, until none passes. It
 // returns those that wait.
 func (r *Router) admitHigh(high []*request) []*request {
-	for fails := 0; fails < window; fails++ {
-		var idx []int
-		for i := 0; i < len(high) && i < window; i++ {
-			if high[i].tested != r.pass {
-				idx = append(idx, i)
+	for again := true; again; {
+		again = false
+		for _, i := range r.rng.Perm(min(window, len(high))) {
+			if r.admit(high[i], false) {
+				high, again = append(high[:i:i], high[i+1:]...), true
+				break
 			}
 		}
-		if len(idx) == 0 {
-			break
-		}
-		i := idx[r.rng.IntN(len(idx))]
-		high[i].tested = r.pass
-		if r.admit(high[i], false) {
-			high = append(high[:i:i], high[i+1:]...)
-			fails--
-		}
 	}
 	return high
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -41,7 +41,6 @@
 	flowAt                 float64
 	flowL                  int
 	far                    float64 // tokens of this request on a cell's link
-	tested                 int64   // decision pass in which it was last tested
 }
 
 // gauge is a running mean that returns to its prior while nothing is learned, so that an engine
@@ -65,20 +64,20 @@
 // engine is what we know of one engine.
 type engine struct {
 	Engine
-	role              Role
-	mem               float64
-	reads, jobs       []*request // our reads out; our requests admitted or streaming
-	spt, lag          gauge      // s a token read; s from send to first token
-	pace              curve
-	kept              map[string]bool // shared beginnings that we saw read here
-	report            Report
-	reportAt          float64
-	err, backoff      float64
-	ejectedTill       float64
-	fullTill          float64
-	lastGood          float64
-	pushes            []push
-	probing, everSeen bool
+	role         Role
+	mem          float64
+	reads, jobs  []*request // our reads out; our requests admitted or streaming
+	spt, lag     gauge      // s a token read; s from send to first token
+	pace         curve
+	kept         map[string]bool // shared beginnings that we saw read here
+	report       Report
+	reportAt     float64
+	err, backoff float64
+	ejectedTill  float64
+	fullTill     float64
+	lastGood     float64
+	pushes       []push
+	probing      bool
 }
 
 // kindStats pools what engines of one kind have shown.
@@ -127,7 +126,6 @@
 	buckets         []bucket
 	sends           [3]rate // weight of our sends by role
 	arrivals        rate
-	pass            int64
 	timerAt         float64
 	timers          int64
 	probeAt         float64
