--- a/brain/brain.go
+++ b/brain/brain.go
@@ -373,15 +373,15 @@
 	x := ev.Spent / max(1, q.load+q.kept-float64(ev.Info))
 	e.spt.add(r.now, x, 0.25)
 	r.kinds[e.Kind].spt.add(r.now, x, 0.05)
+	if float64(ev.Info) < q.kept/2 || len(e.kept) > 4096 { // others' beginnings went too: learn them anew
+		clear(e.kept)
+	}
 	if q.Prefix != "" {
 		e.kept[q.Prefix] = true
 	}
 	if q.Session != "" {
 		r.sessions[q.Session] = session{q.PromptLen, r.now, e}
 	}
-	if float64(ev.Info) < q.kept/2 || len(e.kept) > 4096 { // others' beginnings went too: learn them anew
-		clear(e.kept)
-	}
 	r.judge(e, 0)
 }
 
@@ -577,7 +577,7 @@
 // room is the room that a writer has for q; pass tells whether it may be admitted there.
 func (r *Router) room(e *engine, q *request) (room float64, pass bool) {
 	pace, used := r.paceRoom(e, q), r.memUsed(e, q)
-	full := r.now < e.fullTill || e.report.Has&HasWaiting != 0 && e.report.Waiting >= 1 && r.now-e.reportAt < 1
+	full := r.now < e.fullTill || e.report.Waiting >= 1 && r.now-e.reportAt < 1
 	return pace + 1 - used - e.err, pace >= 0 && used <= memLimit && !full
 }
 
@@ -733,15 +733,15 @@
 // drops to the low tier one that can no longer start in time.
 func (r *Router) expire(q *request) bool {
 	best := r.bestCase(q)
-	due := q.deadline - r.margin()
+	q.due = q.deadline - r.margin()
 	if q.out < 0 {
-		due = min(due, q.deadline-min(best, 0.5*q.TimeLeft))
+		q.due = min(q.due, q.deadline-min(best, 0.5*q.TimeLeft))
 		if q.sent >= r.cfg.Limits.MaxAttempts || q.mayRun && !r.maySend(q, q.mayRunOn) {
-			due = r.now
+			q.due = r.now
 		}
 	}
 	q.low = q.low || r.now+best > q.aim
-	if r.now >= due {
+	if r.now >= q.due {
 		r.finish(q, r.answer(q))
 	}
 	return q.done
@@ -848,7 +848,8 @@
 	if !r.probes() || r.now < r.probeAt {
 		return
 	}
-	r.probeAt = r.now + max(0.02, r.cfg.Prices.Probe/(probeBudget*max(0.5, r.arrivals.get(r.now, rateWindow))))
+	perSecond := probeBudget * max(0.5, r.arrivals.get(r.now, rateWindow))
+	r.probeAt = r.now + max(0.02, r.cfg.Prices.Probe/perSecond)
 	for range r.list {
 		e := r.list[r.probeNext%len(r.list)]
 		r.probeNext++
@@ -883,7 +884,7 @@
 	at := math.Inf(1)
 	for _, q := range r.open {
 		if q.stage == held || q.stage == parsed {
-			at = min(at, r.now+recheck)
+			at = min(at, r.now+recheck, q.due) // its time may be up before the next look
 		} else if q.stage != flowing {
 			at = min(at, q.deadline-r.margin())
 		}
--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,521 @@
+package brain
+
+import (
+	"bufio"
+	"fmt"
+	"math"
+	"math/rand"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// testConfig: kind 0 reads, kind 1 writes, kind 2 does both; class 0 repeatable, 1 once, 2 by key.
+func testConfig() Config {
+	return Config{Balancers: 1, Zones: 1, Tick: 0.002,
+		Classes: []Class{
+			{Effect: Repeatable, Aim: 1, AimPerK: 0.04, HardLimit: 5, TokenAim: 0.06, Worth: 1, LateValue: 0.3},
+			{Effect: Once, Aim: 1, HardLimit: 5, TokenAim: 0.08, Worth: 2, LateValue: 0.3},
+			{Effect: ByKey, Group: GroupCell, KeyTTL: 2, Aim: 1, HardLimit: 5, TokenAim: 0.08, Worth: 1},
+		},
+		Kinds:   []Kind{{Read, 2e5}, {Write, 1.5e5}, {Mixed, 2e5}},
+		Tenants: []Tenant{{0}},
+		Limits:  Limits{MaxAttempts: 4, Cancel: true},
+		Rules: Rules{ColdShare: 0.25, ColdFor: 10, FallMultiple: 4, TipAfter: 2, LetGoBy: 1, AskEvery: 10,
+			DrainGrace: 0.25, AnswerSlack: 0.008},
+	}
+}
+
+func eng(id string, kind, cell int) Engine { return Engine{ID: id, Kind: kind, Cell: cell, Weight: 1} }
+
+// fleet is two cells of a reader and a writer each.
+func fleet() Members {
+	return Members{Form: ListFull, Engines: []Engine{eng("r0", 0, 0), eng("w0", 1, 0), eng("r1", 0, 1), eng("w1", 1, 1)}}
+}
+
+func start(t *testing.T, cfg Config, m Members) *Router {
+	t.Helper()
+	r, err := New(cfg, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Step(0, []Event{m})
+	return r
+}
+
+func ask(id string, class int) Request {
+	return Request{ID: id, Class: class, Session: "s" + id, Prefix: "p", TimeLeft: 4, PromptLen: 1000, PrefixLen: 800,
+		MaxOut: 200}
+}
+
+func of[T Action](acts []Action) (out []T) {
+	for _, a := range acts {
+		if x, ok := a.(T); ok {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func one[T Action](t *testing.T, acts []Action) T {
+	t.Helper()
+	xs := of[T](acts)
+	if len(xs) != 1 {
+		t.Fatalf("want one %T, got %v", *new(T), acts)
+	}
+	return xs[0]
+}
+
+func none[T Action](t *testing.T, acts []Action) {
+	t.Helper()
+	if xs := of[T](acts); len(xs) != 0 {
+		t.Fatalf("want no %T, got %v", *new(T), xs)
+	}
+}
+
+// read takes a request to the point where its state waits and is sent to a writer.
+func read(t *testing.T, r *Router, now float64, q Request) (reader, writer string) {
+	t.Helper()
+	s := one[Send](t, r.Step(now, []Event{q}))
+	w := one[Send](t, r.Step(now+0.05, []Event{Outcome{ID: q.ID, Engine: s.Engine, Status: Parsed, Spent: 0.05}}))
+	return s.Engine, w.Engine
+}
+
+func TestOrdinaryPathReadsThenWritesInTheSameCell(t *testing.T) {
+	r := start(t, testConfig(), fleet())
+	rd, w := read(t, r, 1, ask("a", 0))
+	if rd[0] != 'r' || w[0] != 'w' || rd[1] != w[1] {
+		t.Fatalf("read at %s, written at %s", rd, w)
+	}
+	r.Step(1.1, []Event{First{ID: "a", Attempt: 1, Engine: w, Spent: 0.05}})
+	acts := r.Step(2, []Event{Outcome{ID: "a", Attempt: 1, Engine: w, Status: Served, Spent: 1, Closed: true}})
+	none[Fail](t, acts)
+	none[Refuse](t, acts)
+	if len(r.byID)+len(r.open)+len(r.engines[w].jobs) != 0 {
+		t.Fatal("an ended request left something behind")
+	}
+}
+
+func TestAnswerComesBeforeAShortDeadline(t *testing.T) {
+	// Time left under the look interval: the timer must be for the answer, not for the next look.
+	r := start(t, testConfig(), Members{Form: ListFull})
+	q := ask("a", 0)
+	q.TimeLeft = 0.013
+	acts := r.Step(1, []Event{q})
+	if len(of[Refuse](acts)) == 1 {
+		return
+	}
+	at := one[Timer](t, acts)
+	if at.At > 1.013-0.002 {
+		t.Fatalf("timer at %g is past the deadline", at.At)
+	}
+	one[Refuse](t, r.Step(at.At, []Event{Wake{at.Token}}))
+}
+
+func TestHeldRequestIsAnsweredByTimersAlone(t *testing.T) {
+	r := start(t, testConfig(), Members{Form: ListFull})
+	acts := r.Step(1, []Event{ask("a", 1)})
+	now := 1.0
+	for i := 0; i < 1000; i++ {
+		if len(of[Refuse](acts)) == 1 {
+			if now >= 5 {
+				t.Fatalf("answered at %g", now)
+			}
+			return
+		}
+		w := one[Timer](t, acts)
+		now = w.At
+		acts = r.Step(now, []Event{Wake{w.Token}})
+	}
+	t.Fatal("never answered")
+}
+
+func TestServiceResumesWhenEnginesAppear(t *testing.T) {
+	r := start(t, testConfig(), Members{Form: ListFull})
+	none[Send](t, r.Step(1, []Event{ask("a", 0)}))
+	one[Send](t, r.Step(1.2, []Event{fleet()}))
+}
+
+func TestOnceIsNeverResentNorRefusedAfterItMayHaveRun(t *testing.T) {
+	for _, c := range []struct {
+		status Status
+		ran    bool
+	}{{ServerError, true}, {ConnectionLost, true}, {NoAnswer, true}, {CalledOff, true}, {TurnedAway, false},
+		{NoConnection, false}} {
+		r := start(t, testConfig(), fleet())
+		_, w := read(t, r, 1, ask("a", 1))
+		acts := r.Step(1.2, []Event{Outcome{ID: "a", Attempt: 1, Engine: w, Status: c.status}})
+		if c.ran {
+			none[Send](t, acts)
+			none[Refuse](t, acts)
+			one[Fail](t, acts)
+			one[Release](t, acts)
+		} else {
+			one[Send](t, acts) // the state still waits: another writer
+		}
+	}
+}
+
+func TestByKeyStaysInItsGroupAndTime(t *testing.T) {
+	m := fleet()
+	m.Engines = append(m.Engines, eng("w0b", 1, 0), eng("w1b", 1, 1))
+	r := start(t, testConfig(), m)
+	rd, w := read(t, r, 1, ask("a", 2))
+	s := one[Send](t, r.Step(1.2, []Event{Outcome{ID: "a", Attempt: 1, Engine: w, Status: ServerError}}))
+	if s.Engine[1] != rd[1] {
+		t.Fatalf("resent to %s, first at %s", s.Engine, w)
+	}
+	// Past the key's time nothing more may go out, and a group smaller than all forbids a refusal.
+	acts := r.Step(3.2, []Event{Outcome{ID: "a", Attempt: 2, Engine: s.Engine, Status: ServerError}})
+	none[Send](t, acts)
+	none[Refuse](t, acts)
+	one[Fail](t, acts)
+}
+
+func TestNothingGoesToDrainingOrGone(t *testing.T) {
+	for _, state := range []EngineState{Draining, Removed} {
+		r := start(t, testConfig(), fleet())
+		s := one[Send](t, r.Step(1, []Event{ask("a", 0)}))
+		w := "w" + s.Engine[1:]
+		e := eng(w, 1, int(s.Engine[1]-'0'))
+		e.State = state
+		r.Step(1.01, []Event{Members{Form: ListChanges, Engines: []Engine{e}}})
+		got := one[Send](t, r.Step(1.05, []Event{Outcome{ID: "a", Engine: s.Engine, Status: Parsed}}))
+		if got.Engine == w {
+			t.Fatalf("sent to %s after it was %v", w, state)
+		}
+	}
+}
+
+func TestColdEngineGetsNoMoreThanItsBudget(t *testing.T) {
+	m := Members{Form: ListFull, Engines: []Engine{eng("r0", 0, 0), eng("w0", 1, 0), eng("w1", 1, 0)}}
+	m.Engines[2].BootTime = 9.9
+	r := start(t, testConfig(), m)
+	n := map[string]int{}
+	for i := 0; i < 100; i++ {
+		now := 10 + float64(i)*0.02
+		id := fmt.Sprint("q", i)
+		acts := r.Step(now, []Event{ask(id, 0)})
+		for _, s := range of[Send](acts) {
+			if s.Engine == "r0" {
+				acts = r.Step(now+0.01, []Event{Outcome{ID: s.ID, Engine: "r0", Status: Parsed, Spent: 0.01}})
+				for _, s := range of[Send](acts) {
+					n[s.Engine]++
+				}
+			}
+		}
+	}
+	// cold_share x multiple is one warm engine's load; ours is held to less than that.
+	if n["w1"] == 0 || n["w1"] > n["w0"] {
+		t.Fatalf("cold got %d, warm %d", n["w1"], n["w0"])
+	}
+}
+
+func TestRestartSendsNothingToAColdEngineForAWindow(t *testing.T) {
+	m := Members{Form: ListWarm, Engines: []Engine{eng("r0", 0, 0), eng("w0", 1, 0)}}
+	m.Engines[0].BootTime = 0.5
+	r, _ := New(testConfig(), 1)
+	none[Send](t, r.Step(1, []Event{m, ask("a", 0)}))
+	none[Send](t, r.Step(2.9, []Event{ask("b", 0)}))
+}
+
+func TestStateIsReleasedWhenNoWriterTakesIt(t *testing.T) {
+	r := start(t, testConfig(), fleet())
+	s := one[Send](t, r.Step(1, []Event{ask("a", 0)}))
+	var gone []Engine
+	for _, e := range fleet().Engines {
+		if e.Kind == 1 {
+			e.State = Draining
+			gone = append(gone, e)
+		}
+	}
+	r.Step(1.01, []Event{Members{Form: ListChanges, Engines: gone}})
+	acts := r.Step(1.05, []Event{Outcome{ID: "a", Engine: s.Engine, Status: Parsed}})
+	for now := 1.05; now < 2.05-0.3; now += 0.02 {
+		if len(of[Release](acts)) == 1 {
+			return
+		}
+		acts = r.Step(now, []Event{Wake{0}})
+	}
+	t.Fatal("the state was not released in time")
+}
+
+func TestGoneReleasesTheStateOfAReadStillOut(t *testing.T) {
+	r := start(t, testConfig(), fleet())
+	s := one[Send](t, r.Step(1, []Event{ask("a", 0)}))
+	one[Cancel](t, r.Step(1.01, []Event{Gone{"a"}}))
+	one[Release](t, r.Step(1.02, []Event{Outcome{ID: "a", Engine: s.Engine, Status: Parsed, Closed: true}}))
+	if len(r.byID) != 0 {
+		t.Fatal("the request is still known")
+	}
+}
+
+func TestPrefixHomeIsSharedAndStable(t *testing.T) {
+	m := Members{Form: ListFull}
+	for i := 0; i < 6; i++ {
+		m.Engines = append(m.Engines, eng(fmt.Sprint("r", i), 0, i), eng(fmt.Sprint("w", i), 1, i))
+	}
+	home := func(r *Router, prefix string) string {
+		q := ask("x", 0)
+		q.Prefix = prefix
+		s := one[Send](t, r.Step(r.now+1, []Event{q}))
+		r.Step(r.now, []Event{Outcome{ID: "x", Engine: s.Engine, Status: ServerError, Closed: true}})
+		r.engines[s.Engine].err = 0
+		return s.Engine
+	}
+	a, b := start(t, testConfig(), m), start(t, testConfig(), m)
+	b.rng.Uint64()
+	before := map[string]string{}
+	for i := 0; i < 20; i++ {
+		p := fmt.Sprint("p", i)
+		before[p] = home(a, p)
+		if got := home(b, p); got != before[p] {
+			t.Fatalf("routers disagree on %s: %s, %s", p, before[p], got)
+		}
+	}
+	left := m.Engines[0]
+	left.State = Removed
+	a.Step(a.now, []Event{Members{Form: ListChanges, Engines: []Engine{left}}})
+	for p, was := range before {
+		if got := home(a, p); was != "r0" && got != was {
+			t.Fatalf("%s moved from %s to %s though its home stayed", p, was, got)
+		}
+	}
+}
+
+func TestFastFailingWriterIsEjectedAndReadmittedByTrial(t *testing.T) {
+	r := start(t, testConfig(), fleet())
+	e := r.engines["w0"]
+	r.now = 1
+	r.judge(e, 1)
+	r.judge(e, 1)
+	if r.trusted(e) {
+		t.Fatal("still trusted after two failures in a row")
+	}
+	r.now += maxEject
+	if !r.trusted(e) {
+		t.Fatal("no trial after the ejection")
+	}
+	e.jobs = []*request{{stage: writing, writer: e, sentAt: r.now, expect: 1}}
+	if r.trusted(e) {
+		t.Fatal("a second trial beside the first")
+	}
+	e.jobs = nil
+	for i := 0; i < 5; i++ {
+		r.judge(e, 0)
+	}
+	if e.err >= errTrial {
+		t.Fatal("not readmitted after good trials")
+	}
+}
+
+func TestWithAllSuspectTheLeastFailedServes(t *testing.T) {
+	r := start(t, testConfig(), fleet())
+	for _, e := range r.list {
+		e.err, e.ejectedTill = 0.9, 100
+	}
+	r.engines["r1"].err, r.engines["w1"].err = 0.6, 0.6
+	if rd, w := read(t, r, 1, ask("a", 0)); rd != "r1" || w != "w1" {
+		t.Fatalf("used %s and %s", rd, w)
+	}
+}
+
+func TestSilentReaderGetsNothingMore(t *testing.T) {
+	r := start(t, testConfig(), fleet())
+	s := one[Send](t, r.Step(1, []Event{ask("a", 0)}))
+	got := one[Send](t, r.Step(1.6, []Event{ask("b", 0)}))
+	if got.Engine == s.Engine {
+		t.Fatalf("%s is silent and got more", s.Engine)
+	}
+}
+
+func TestLostPrefixesAreReadAnew(t *testing.T) {
+	r := start(t, testConfig(), fleet())
+	e := r.engines["r0"]
+	e.kept["p"], e.kept["q"] = true, true
+	q := &request{Request: ask("a", 0), class: &r.cfg.Classes[0], kept: 800, load: 600, tokens: 200}
+	r.learnRead(q, e, Outcome{Info: 0, Spent: 0.1})
+	if e.kept["q"] || !e.kept["p"] {
+		t.Fatalf("kept is %v", e.kept)
+	}
+}
+
+func TestFarMovesLearnTheLink(t *testing.T) {
+	r := start(t, testConfig(), fleet())
+	from, to := r.engines["r0"], r.engines["w1"]
+	q := &request{Request: ask("a", 0)}
+	before := r.moveTime(q, from, to)
+	r.link(from, to).perTok.add(r.now, 1e-3, 1)
+	if after := r.moveTime(q, from, to); after < 10*before {
+		t.Fatalf("a slow link went unnoticed: %g, %g", before, after)
+	}
+	r.link(from, to).out = 5000
+	if r.moveTime(q, from, to) < 5 {
+		t.Fatal("moves under way do not count")
+	}
+	if r.moveTime(q, from, r.engines["w0"]) != 0 {
+		t.Fatal("a near move counts on the link")
+	}
+}
+
+func TestCurveFindsAKnownLaw(t *testing.T) {
+	var k curve
+	k.c = [3]float64{0.02, 0, 0}
+	rnd := rand.New(rand.NewSource(1))
+	law := func(l int) float64 { return 0.02 * (1 + 0.03*float64(l-1) + 0.0005*float64(l)*float64(l-1)) }
+	for i := 0; i < 3000; i++ {
+		l := 1 + rnd.Intn(60)
+		k.sample(l, law(l), memoryOf)
+		k.fit(k.c)
+	}
+	for _, l := range []int{1, 10, 30, 60} {
+		if got, want := k.c[0]/k.speed(l), law(l); math.Abs(got-want) > 0.1*want {
+			t.Errorf("pace at %d: %g, want %g", l, got, want)
+		}
+	}
+}
+
+func TestCurveStaysPhysicalOnDegenerateSamples(t *testing.T) {
+	for _, pace := range []float64{0, 1e-9, 1e6} {
+		var k curve
+		k.c = [3]float64{0.02, 0, 0}
+		for i := 0; i < 200; i++ {
+			k.sample(1+i%2*40, pace*float64(200-i), memoryOf)
+			k.fit(k.c)
+			if !(k.c[0] > 0) || k.c[1] < 0 || k.c[2] < 0 || k.c[1] > k.c[0] || k.c[2] > k.c[0] {
+				t.Fatalf("fit is %v", k.c)
+			}
+			if f := k.speed(50); !(f > 0 && f <= 1) {
+				t.Fatalf("speed is %g", f)
+			}
+		}
+	}
+}
+
+func TestCurveHoldsBackANewcomer(t *testing.T) {
+	r := start(t, testConfig(), fleet())
+	for i := range r.kinds {
+		r.kinds[i].pace.c = [3]float64{0.03, 0.012, 0} // two streams 0.042, three 0.054, four 0.066
+	}
+	r.cfg.Limits.MaxAttempts = 2
+	sent := 0
+	for i := 0; i < 12; i++ {
+		sent += len(of[Send](r.Step(1, []Event{ask(fmt.Sprint(i), 0)})))
+	}
+	if sent != 6 { // three at each writer keep 0.9 x 0.06; a fourth would not
+		t.Fatalf("%d were admitted", sent)
+	}
+}
+
+func TestHighTierGoesByDeadlineAndLowWaits(t *testing.T) {
+	var q [3]*request
+	for i := range q {
+		q[i] = &request{aim: float64(3 - i)}
+	}
+	q[2].over = true
+	xs := []*request{q[0], q[1], q[2]}
+	byDeadline(xs)
+	if xs[0] != q[1] || xs[1] != q[0] || xs[2] != q[2] {
+		t.Fatal("not by deadline with over-share traffic last")
+	}
+	// A request whose aim has passed waits while the high tier holds one.
+	r := start(t, testConfig(), Members{Form: ListFull})
+	late := ask("late", 0)
+	r.Step(0, []Event{late})
+	r.Step(1.5, []Event{ask("new", 0)})
+	m := fleet()
+	acts := r.Step(1.6, []Event{m})
+	if !r.byID["late"].low || r.byID["new"].low {
+		t.Fatal("tiers are wrong")
+	}
+	if s := of[Send](acts); len(s) == 0 || s[0].ID != "new" {
+		t.Fatalf("the high tier does not go first: %v", s)
+	}
+}
+
+func TestAnswerLengthIsInferred(t *testing.T) {
+	r := start(t, testConfig(), fleet())
+	q := &request{Request: ask("a", 0), class: &r.cfg.Classes[0]}
+	q.Hint = 3
+	if got := r.answerTokens(q); got != 50 {
+		t.Fatalf("hinted length is %g", got)
+	}
+	if got := meanOver([]float64{1, 1, 1, 1, 2}, 1); math.Abs(got-0.6) > 1e-9 {
+		t.Fatalf("mean over top is %g", got)
+	}
+}
+
+func TestSameSeedAndEventsGiveTheSameActions(t *testing.T) {
+	run := func() (all []Action) {
+		r, _ := New(testConfig(), 9)
+		all = append(all, r.Step(0, []Event{fleet()})...)
+		for i := 0; i < 60; i++ {
+			now := 1 + float64(i)*0.01
+			acts := r.Step(now, []Event{ask(fmt.Sprint(i), i%3)})
+			all = append(all, acts...)
+			for _, s := range of[Send](acts) {
+				if s.Engine[0] == 'r' && i%2 == 0 {
+					all = append(all, r.Step(now, []Event{Outcome{ID: s.ID, Engine: s.Engine, Status: Parsed, Spent: 0.02}})...)
+				}
+			}
+		}
+		return all
+	}
+	if !reflect.DeepEqual(run(), run()) {
+		t.Fatal("actions differ")
+	}
+}
+
+func TestStrayEventsAreIgnored(t *testing.T) {
+	r := start(t, testConfig(), fleet())
+	r.Step(1, []Event{ask("a", 0)})
+	acts := r.Step(1.001, []Event{Outcome{ID: "zz", Engine: "r0"}, Outcome{ID: "a", Attempt: 7, Engine: "r0"}, Gone{"zz"},
+		First{ID: "a", Attempt: 3}, Wake{999}, Probed{Engine: "nobody"}, Held{ID: "zz"}, Peer{}, ask("a", 0)})
+	for _, a := range acts {
+		if _, ok := a.(Timer); !ok {
+			t.Fatalf("acted on a stray event: %v", a)
+		}
+	}
+}
+
+func TestNewNamesTheBadField(t *testing.T) {
+	for field, spoil := range map[string]func(*Config){
+		"Balancers":   func(c *Config) { c.Balancers = 0 },
+		"Rank":        func(c *Config) { c.Rank = 5 },
+		"Classes":     func(c *Config) { c.Classes = nil },
+		"Classes[1]":  func(c *Config) { c.Classes[1].Aim = -1 },
+		"Kinds":       func(c *Config) { c.Kinds = nil },
+		"MaxAttempts": func(c *Config) { c.Limits.MaxAttempts = 0 },
+		"Zone":        func(c *Config) { c.Zone = 3 },
+		"Rules":       func(c *Config) { c.Rules.LetGoBy = -1 },
+	} {
+		c := testConfig()
+		spoil(&c)
+		if _, err := New(c, 1); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: error is %v", field, err)
+		}
+	}
+}
+
+// TestModuleSize holds brain.go to 850 lines that are not blank and 110 columns.
+func TestModuleSize(t *testing.T) {
+	f, err := os.Open("brain.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	lines := 0
+	for sc := bufio.NewScanner(f); sc.Scan(); {
+		s := strings.ReplaceAll(sc.Text(), "\t", "    ")
+		if strings.TrimSpace(s) != "" {
+			lines++
+		}
+		if n := len([]rune(s)); n > 110 {
+			t.Errorf("%d columns: %s", n, s)
+		}
+	}
+	if lines > 850 {
+		t.Errorf("brain.go has %d lines", lines)
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -26,7 +26,8 @@
 	Request
 	class                  *Class
 	arrived, aim, deadline float64
-	over, low, done        bool // beyond its tenant's share; in the low tier; answered or given up
+	due                    float64 // when the final answer must be given
+	over, low, done        bool    // beyond its tenant's share; in the low tier; answered or given up
 	stage                  stage
 	sent, out              int     // attempts made; the number of the one out, or -1
 	mayRun                 bool    // an earlier attempt may have run
--- /dev/null
+++ b/cmd/adapter/main_test.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+)
+
+func smoke(t *testing.T) string {
+	t.Helper()
+	b, err := os.ReadFile("testdata/smoke.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+func TestSmoke(t *testing.T) {
+	var out bytes.Buffer
+	if err := run(strings.NewReader(smoke(t)), &out); err != nil {
+		t.Fatal(err)
+	}
+	got := out.String()
+	for _, want := range []string{"OK\tserial=1\n", "engine=10.0.0.1:1\tcap_s=", "engine=10.0.0.2:1\tcap_s=", "OK\tserial=3\n"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("no %q in\n%s", want, got)
+		}
+	}
+}
+
+func TestKillVoidsTheInstance(t *testing.T) {
+	var out bytes.Buffer
+	in := smoke(t) + "SYNC\tsim_time_s=2\tserial=4\nTO\tnode_id=0\nKILL\nGO\n"
+	if err := run(strings.NewReader(in), &out); err != nil || !strings.HasSuffix(out.String(), "OK\tserial=4\n") {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+}
+
+func TestMalformedInputIsAnError(t *testing.T) {
+	var out bytes.Buffer
+	if err := run(strings.NewReader("nonsense\n"), &out); err == nil || out.Len() > 0 {
+		t.Fatalf("error %v, output %q", err, out.String())
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,148 @@
+package wire
+
+import (
+	"io"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"dillroute/brain"
+)
+
+// launch is the first batch of the adapter's smoke run: settings and two engines.
+func launch(t testing.TB) string {
+	t.Helper()
+	b, err := os.ReadFile("../../cmd/adapter/testdata/smoke.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, _, _ := strings.Cut(string(b), "GO\n")
+	return first + "GO\n"
+}
+
+func decode(s string) (items []Item, err error) {
+	d := NewDecoder(strings.NewReader(s))
+	for {
+		b, err := d.Next()
+		if err == io.EOF {
+			return items, nil
+		}
+		if err != nil {
+			return items, err
+		}
+		items = append(items, b.Items...)
+	}
+}
+
+func batch(lines ...string) string {
+	return "SYNC\tsim_time_s=2.5\tserial=9\nTO\tnode_id=0\n" + strings.Join(lines, "\n") + "\nGO\n"
+}
+
+func TestLaunchAndList(t *testing.T) {
+	items, err := decode(launch(t))
+	if err != nil || len(items) != 2 {
+		t.Fatalf("%v, %d items", err, len(items))
+	}
+	c := items[0].Launch.Config
+	if c.Rules.LetGoBy != 1 || c.Classes[0].TokenAim != 0.06 || c.Classes[0].AimPerK != 0.04 ||
+		c.Kinds[1].Role != brain.Write || c.Report != brain.ReportInline || items[0].Launch.Seed != 7 {
+		t.Errorf("settings: %+v", c)
+	}
+	m := items[1].Event.(brain.Members)
+	want := brain.Engine{ID: "10.0.0.2:1", Kind: 1, Weight: 1}
+	if m.Form != brain.ListWarm || len(m.Engines) != 2 || m.Engines[1] != want {
+		t.Errorf("list: %+v", m)
+	}
+}
+
+func TestEveryEvent(t *testing.T) {
+	for line, want := range map[string]brain.Event{
+		"WAKEUP\tctx=77": brain.Wake{Token: 77},
+		"GONE\top_id=a":  brain.Gone{ID: "a"},
+		"DEMAND\top_id=a\ttier_class=0\tproject=0\tsession_id=s\ttime_left_s=0.24\twork_s=0.5\tsystem_prompt=p\tprompt_tokens=18\tprefix_tokens=12\toutput_cap=25\tis_retry=1\treturned=1\tnew=x": brain.Request{
+			ID: "a", Session: "s", Prefix: "p", TimeLeft: 0.24, Hint: 0.5, PromptLen: 18, PrefixLen: 12, MaxOut: 25, Retry: true, Returned: true},
+		"FLOWING\top_id=a\tn=1\tengine=e\tspent_s=0.5":        brain.First{ID: "a", Attempt: 1, Engine: "e", Spent: 0.5},
+		"HELD_NOTE\top_id=a\tsort=1\tn=2\tengine=e\tamount=0": brain.Held{ID: "a", Attempt: 2, Engine: "e", OK: true},
+		"CHECKED\tdisposition=no_answer\tspent_s=1\tengine=e": brain.Probed{Engine: "e", Status: brain.NoAnswer, Spent: 1},
+		"WHISPER\tneighbour=2\tpayload=6869":                  brain.Peer{From: 2, Data: []byte("hi")},
+		"PEERS_KNOWN\tform=lost\trev=1":                       brain.Members{Form: brain.ListLost},
+		"CLOSED_ATTEMPT\top_id=a\tdisposition=parsed\tinfo=7\tn=1\tengine=e\tspent_s=0.1\tfinished=1\treport=cpu:0.6,waiting:3,x0:0.4,x1:2,active:5,avg_ms:9,odd:1": brain.Outcome{
+			ID: "a", Attempt: 1, Engine: "e", Status: brain.Parsed, Info: 7, Spent: 0.1, Closed: true,
+			Report: &brain.Report{Util: 0.6, Waiting: 3, MemShare: 0.4, TokensWaiting: 2000, Active: 5, LatencyMS: 9, Has: 63}},
+	} {
+		items, err := decode(launch(t) + batch(line))
+		if err != nil || len(items) != 3 || !reflect.DeepEqual(items[2].Event, want) {
+			t.Errorf("%s: %v\n got %+v\nwant %+v", clip(line), err, items[len(items)-1].Event, want)
+		}
+	}
+	if items, err := decode(launch(t) + batch("KILL")); err != nil || !items[2].Kill {
+		t.Errorf("KILL: %v", err)
+	}
+	if items, err := decode(launch(t) + batch("NOVELTY\ta=1")); err != nil || len(items) != 2 {
+		t.Errorf("an unknown message is to be passed over: %v", err)
+	}
+}
+
+func TestEveryAction(t *testing.T) {
+	for want, a := range map[string]brain.Action{
+		"DELIVER\top_id=a\tengine=e":              brain.Send{ID: "a", Engine: "e"},
+		"DELIVER\top_id=a\tengine=e\tcap_s=0.08":  brain.Send{ID: "a", Engine: "e", Timeout: 0.08},
+		"ABORT_ATTEMPT\top_id=a\tn=2":             brain.Cancel{ID: "a", Attempt: 2},
+		"RESERVE\top_id=a\tengine=e":              brain.Reserve{ID: "a", Engine: "e"},
+		"UNHOLD\top_id=a":                         brain.Release{ID: "a"},
+		"REFUSE\top_id=a":                         brain.Refuse{ID: "a"},
+		"REFUSE\top_id=a\tbackoff_s=0.5":          brain.Refuse{ID: "a", RetryAfter: 0.5},
+		"FAIL\top_id=a":                           brain.Fail{ID: "a"},
+		"SCHEDULE\ttime_s=8.91225\tctx=7":         brain.Timer{At: 8.91225, Token: 7},
+		"HEALTH_CHECK\tengine=e":                  brain.Probe{Engine: "e"},
+		"STREAM_CHANGES\tenable=1":                brain.Watch{On: true},
+		"REFRESH":                                 brain.Fetch{},
+		"SAY_LOG\tbody_text=two lines are joined": brain.Log{Text: "two lines\nare joined"},
+	} {
+		if got, err := FormatAction(a); err != nil || got != want {
+			t.Errorf("got %q, %v; want %q", got, err, want)
+		}
+	}
+}
+
+func TestMalformedInputIsNamed(t *testing.T) {
+	for in, want := range map[string]string{
+		batch("DEMAND\top_id=a\ttier_class=5\ttime_left_s=1"):                    "tier_class",
+		batch("DEMAND\top_id=a\ttier_class=0\tproject=3\ttime_left_s=1"):         "project",
+		batch("DEMAND\top_id=a"):                                                 "time_left_s",
+		batch("DEMAND\ttime_left_s=1"):                                           "op_id",
+		batch("DEMAND\top_id=a\ttime_left_s=soon"):                               "soon",
+		batch("DEMAND\top_id=a\ttime_left_s=NaN"):                                "time_left_s",
+		batch("DEMAND\top_id=a\ttime_left_s=1\tprompt_tokens=-3"):                "prompt_tokens",
+		batch("CLOSED_ATTEMPT\top_id=a\tdisposition=odd\tengine=e"):              "disposition",
+		batch("CLOSED_ATTEMPT\top_id=a\tdisposition=served\tengine=e\treport=x"): "report",
+		batch("GONE\tid"): "no '='",
+		batch("PEERS_KNOWN\tform=incr\tmembers=1", "ITEM\tengine=e\tstate=ready\tgeneration_hw=9"): "generation_hw",
+		batch("PEERS_KNOWN\tform=incr\tmembers=2", "ITEM\tengine=e\tstate=ready"):                  "ITEM",
+		"SYNC\tsim_time_s=1\tserial=1\nTO\tnode_id=0\nWAKEUP":                                      "ends within",
+		"SYNC\tsim_time_s=1\tserial=1\nTO\tnode_id=4\nGONE\top_id=a\nGO\n":                         "not launched",
+		"HELLO\n":          "SYNC",
+		"SYNC\tserial=1\n": "sim_time_s",
+		"SYNC\tsim_time_s=1\tserial=1\nTO\tnode_id=1\nLAUNCH\trandom_seed=1\tfacts={\nGO\n": "facts",
+	} {
+		_, err := decode(launch(t) + in)
+		if err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), "line ") {
+			t.Errorf("%q: error is %v, want the line and %q", clip(in), err, want)
+		}
+	}
+}
+
+func TestLineOfSeveralMegabytes(t *testing.T) {
+	long := strings.Repeat("x", 4<<20)
+	items, err := decode(launch(t) + batch("GONE\top_id="+long))
+	if err != nil || items[2].Event.(brain.Gone).ID != long {
+		t.Fatalf("long line: %v", err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(launch(f) + batch("WAKEUP\tctx=1"))
+	f.Add(batch("DEMAND\top_id=a"))
+	f.Fuzz(func(t *testing.T, s string) { decode(s) }) // errors are fine, panics are not
+}
