--- a/brain/brain.go
+++ b/brain/brain.go
@@ -25,9 +25,11 @@
 	firstFar    = 2e-5 // s a token over a cell's link, until one is seen
 	lengths     = 64   // stream times kept for each class
 	firstShare  = 0.3  // of the most allowed that an answer is taken to have, until streams ended
-	firstPace   = 0.4  // of the tightest pace aim that a lone stream is taken to need, likewise
+	firstPace   = 0.02 // s a token of a lone stream, until streams have ended
 	ridge       = 4    // samples that a curve's prior is worth
+	sampleOf    = 100  // tokens of answer that weigh as one sample
 	memoryOf    = 0.98 // what a curve keeps of older samples at each new one
+	patience    = 3    // times its prediction after which an attempt is overdue
 	forget      = 5.0  // s after which a gauge has mostly returned to its prior
 	errGain     = 0.3  // weight of the newest outcome in an engine's failure score
 	errEject    = 0.5  // failure score at which an engine is ejected
@@ -38,6 +40,7 @@
 	holdShare   = 0.5  // share of let_go_by for which a read state may wait for a writer
 	coldSafety  = 0.8  // share of the cold budget that we use
 	rateWindow  = 4.0  // s over which send and arrival rates are averaged
+	reportLag   = 0.2  // s by which a load report is taken to be late
 	probeBudget = 5e-3 // points of the result that routine probes may cost
 	farReserve  = 0.1  // share of the time left that a move must take for a place to be reserved
 	shareSlack  = 2.0  // s of its share that a tenant may save up
@@ -62,24 +65,13 @@
 	return k.c[0] / (k.c[0] + k.c[1]*(x-1) + k.c[2]*x*(x-1))
 }
 
-// startCurves sets an optimistic start; the first streams that end correct it.
-func (r *Router) startCurves() {
-	aim := 1.0
-	for _, c := range r.cfg.Classes {
-		if c.TokenAim > 0 {
-			aim = min(aim, c.TokenAim)
-		}
-	}
-	for i := range r.kinds {
-		r.kinds[i].pace.c = [3]float64{aim * firstPace, 0, 0}
-	}
-}
-
 // Step takes what has happened up to now, in order, and returns what is to be done.
 func (r *Router) Step(now float64, events []Event) []Action {
 	if !r.begun {
 		r.begun, r.started = true, now
-		r.startCurves()
+		for i := range r.kinds {
+			r.kinds[i].pace.c[0] = firstPace
+		}
 	}
 	r.now, r.acts = max(now, r.now), nil
 	for _, ev := range events {
@@ -151,11 +143,7 @@
 
 // arrive takes a request into the high tier.
 func (r *Router) arrive(ev Request) {
-	if r.byID[ev.ID] != nil {
-		return
-	}
-	if ev.Class < 0 || ev.Class >= len(r.cfg.Classes) {
-		r.do(Fail{ev.ID})
+	if r.byID[ev.ID] != nil || ev.Class < 0 || ev.Class >= len(r.cfg.Classes) {
 		return
 	}
 	c := &r.cfg.Classes[ev.Class]
@@ -171,18 +159,18 @@
 	r.classes[ev.Class].prompt.add(r.now, ev.PromptLen, 0.05)
 }
 
-// answerTokens is our guess of an answer's length: the hint where there is one; else the class's
-// mean part of the most allowed. The longest streams of a class are taken to have run into that
-// most; where none did the guess is too long, so the pace looks better than it is and admission
-// errs to the open side, never to shutting a writer out.
+// answerTokens is our guess of an answer's length: the hint, else the class's mean part of the most
+// allowed. The longest streams are taken to have run into that most; where none did, the guess is too long
+// and admission errs to the open side, never to shutting a writer out.
 func (r *Router) answerTokens(q *request) float64 {
-	if q.Hint > 0 && q.class.TokenAim > 0 {
-		return max(4, min(q.Hint/q.class.TokenAim, max(q.MaxOut, 4)))
-	}
-	if s := &r.classes[q.Class]; s.share > 0 {
-		return max(4, q.MaxOut*s.share)
+	tokens, share := q.Hint/max(q.class.TokenAim, 1e-3), r.classes[q.Class].share
+	if q.Hint <= 0 {
+		tokens = q.MaxOut * share
+		if share == 0 {
+			tokens = q.MaxOut * firstShare
+		}
 	}
-	return max(4, q.MaxOut*firstShare)
+	return max(4, min(tokens, q.MaxOut))
 }
 
 func (r *Router) first(ev First) {
@@ -216,11 +204,9 @@
 	if was != reading {
 		e = q.writer
 	}
-	q.out, q.stage, q.holdSince = -1, held, r.now
-	e.reads = without(e.reads, q)
+	q.out, q.stage, q.holdSince, e.reads = -1, held, r.now, without(e.reads, q)
 	if q.far > 0 {
-		r.link(q.reader, e).out -= q.far
-		q.far = 0
+		r.link(q.reader, e).out, q.far = r.link(q.reader, e).out-q.far, 0
 	}
 	switch ev.Status {
 	case Parsed:
@@ -241,9 +227,11 @@
 		}
 	case NotSent:
 	default:
-		r.judge(e, 1)
+		slow := (ev.Status == NoAnswer || ev.Status == CalledOff) && e.lastGood >= q.sentAt
 		if ev.Status == NoConnection && e.err < errEject {
 			r.eject(e)
+		} else if !slow { // an engine that answers others is not failing
+			r.judge(e, 1)
 		}
 		if was == writing || was == flowing {
 			if ev.Status != NoConnection && !q.mayRun && e.role != Read {
@@ -263,12 +251,12 @@
 	case q.stage != parsed:
 		r.letGo(q)
 	case was == writing:
-		r.unadmit(q)
+		r.admitTo(q, nil)
 	}
 }
 
-// letGo releases whatever is held for a request of which no attempt is out (rule 5) and frees
-// its place in our own count.
+// letGo releases whatever is held for a request of which no attempt is out (rule 5) and frees its place in
+// our own count.
 func (r *Router) letGo(q *request) {
 	if q.hasHold {
 		r.do(Release{q.ID})
@@ -277,18 +265,20 @@
 	if q.stage == parsed {
 		q.stage = held
 	}
-	r.unadmit(q)
+	r.admitTo(q, nil)
 }
 
-func (r *Router) unadmit(q *request) {
+func (r *Router) admitTo(q *request, w *engine) {
 	if q.writer != nil {
 		q.writer.jobs = without(q.writer.jobs, q)
-		q.writer = nil
+	}
+	if q.writer = w; w != nil {
+		w.jobs = append(w.jobs, q)
 	}
 }
 
-// finish gives the final answer (none where the client has it or has left), calls off what is out
-// and lets go of the rest. The books on an attempt still out stay open until its outcome.
+// finish gives the final answer (none where the client has it or has left), calls off what is out and lets
+// go of the rest. The books on an attempt still out stay open until its outcome.
 func (r *Router) finish(q *request, answer Action) {
 	if answer != nil {
 		r.do(answer)
@@ -308,8 +298,8 @@
 	}
 }
 
-// answer is the best final answer that the ledger allows: a refusal tells the client that a
-// further try is harmless (rule 2).
+// answer is the best final answer that the ledger allows: a refusal tells the client that a further try is
+// harmless (rule 2).
 func (r *Router) answer(q *request) Action {
 	may := q.mayRun || q.out >= 0
 	if q.class.Effect == Repeatable || !may || q.class.Effect == ByKey && q.class.Group == GroupAll {
@@ -331,8 +321,8 @@
 		g == GroupCell && e.Cell == q.mayRunOn.Cell
 }
 
-// judge moves an engine's failure score. Two failures in a row eject it, whatever their cause:
-// fast errors, a dead process, a cut link or silence. It comes back by single trials.
+// judge moves an engine's failure score. Two failures in a row eject it, whatever their cause: fast errors,
+// a dead process, a cut link or silence. It comes back by single trials.
 func (r *Router) judge(e *engine, bad float64) {
 	e.err += errGain * (bad - e.err)
 	if bad == 0 {
@@ -367,8 +357,8 @@
 	}
 }
 
-// learnRead takes the time of a read and the tokens that were found kept. A beginning that was
-// not found is struck off, so that lost prefixes are expected to be read anew.
+// learnRead takes the time of a read and the tokens that were found kept. A beginning that was not found is
+// struck off, so that lost prefixes are expected to be read anew.
 func (r *Router) learnRead(q *request, e *engine, ev Outcome) {
 	x := ev.Spent / max(1, q.load+q.kept-float64(ev.Info))
 	e.spt.add(r.now, x, 0.25)
@@ -400,15 +390,18 @@
 	if len(s.times) >= lengths/4 {
 		s.share = meanOver(s.times, 0.95)
 	}
-	k.sample(l, pace, memoryOf)
+	// Weighed by its guessed length, so that the fit is time over tokens in sum: the mean of single ratios
+	// is far too slow where guesses are rough.
+	weight := tokens / sampleOf
+	k.sample(l, pace, weight, memoryOf)
 	k.fit(k.c)
-	e.pace.sample(l, pace, memoryOf)
+	e.pace.sample(l, pace, weight, memoryOf)
 	e.pace.fit(k.c)
 }
 
-// trusted tells whether an engine is fit for new work: not ejected, one trial at a time while its
-// failure score is high, and not silent: nothing good came since we sent what should long have been
-// answered. Silence covers a dead machine, a cut zone and a stuck process before a time-out tells.
+// trusted tells whether an engine is fit for new work: not ejected, one trial at a time while its failure
+// score is high, and not silent: nothing good came since we sent what should long have been answered.
+// Silence covers a dead machine, a cut zone and a stuck process before a time-out tells.
 func (r *Router) trusted(e *engine) bool {
 	if r.now < e.ejectedTill {
 		return false
@@ -418,7 +411,7 @@
 		for _, q := range xs {
 			if q.stage == reading && q.reader == e || q.stage == writing {
 				waiting++
-				if r.now-q.sentAt > 3*q.expect+0.3 && e.lastGood < q.sentAt {
+				if r.stuck(q, e) {
 					return false
 				}
 			}
@@ -427,8 +420,27 @@
 	return e.err < errTrial || waiting == 0
 }
 
-// pool returns the engines that may be sent something new and that fit: those listed ready (rule
-// 3) and trusted; where none is trusted, the one that failed least.
+// stuck: an attempt is long overdue and its engine has done nothing else for us since.
+func (r *Router) stuck(q *request, e *engine) bool {
+	return r.now > q.sentAt+patience*q.expect+0.3 && e.lastGood < q.sentAt
+}
+
+// rescue calls off a stuck attempt, so that the request goes elsewhere while there is time. Attempts at an
+// engine that still answers others are left alone: under load a retry would only add to it.
+func (r *Router) rescue(q *request) {
+	e, more := q.reader, 2
+	if q.stage == writing {
+		e, more = q.writer, 1
+	}
+	if q.out >= 0 && !q.calledOff && r.cfg.Limits.Cancel && q.sent+more <= r.cfg.Limits.MaxAttempts &&
+		(q.stage == reading || q.class.Effect == Repeatable) && r.stuck(q, e) {
+		q.calledOff = true
+		r.do(Cancel{q.ID, q.out})
+	}
+}
+
+// pool returns the engines that may be sent something new and that fit: those listed ready (rule 3) and
+// trusted; where none is trusted, the one that failed least.
 func (r *Router) pool(fit func(e *engine) bool) []*engine {
 	var good []*engine
 	var last *engine
@@ -480,9 +492,9 @@
 	return r.answerTokens(q) + 0.1*r.classes[q.Class].prompt.v
 }
 
-// coldRoom tells whether one more send keeps a cold engine within our part of its budget (rule
-// 4). Its capacity is taken to be at least the load that warm engines of its role bear; after our
-// own start we wait a whole window, as others of our sends may be in it.
+// coldRoom tells whether one more send keeps a cold engine within our part of its budget (rule 4). Its
+// capacity is taken to be at least the load that warm engines of its role bear; after our own start we wait
+// a whole window, as others of our sends may be in it.
 func (r *Router) coldRoom(q *request, e *engine) bool {
 	if !r.cold(e) {
 		return true
@@ -524,8 +536,8 @@
 	return load * r.spt(e), tokens, load
 }
 
-// moveTime predicts the move of a state beyond what a writer's lag holds: only the link of the
-// reader's cell counts, with what we have on it.
+// moveTime predicts the move of a state beyond what a writer's lag holds: only the link of the reader's
+// cell counts, with what we have on it.
 func (r *Router) moveTime(q *request, from, to *engine) float64 {
 	if from == nil || from.Cell == to.Cell {
 		return 0
@@ -534,29 +546,28 @@
 	return (l.out + q.PromptLen) * l.perTok.get(r.now, firstFar, forget)
 }
 
-// memUsed is the share of a writer's memory taken, by its report and by what we sent since; of
-// our own alone times the routers where there is no report.
+// memUsed is the share of a writer's memory taken, by its report and by what we sent since; of our own
+// alone times the routers where there is no report.
 func (r *Router) memUsed(e *engine, q *request) float64 {
 	if e.mem <= 0 {
 		return 0
 	}
+	need := q.PromptLen + r.answerTokens(q)
 	var own, since float64
 	for _, x := range e.jobs {
 		t := x.PromptLen + r.answerTokens(x)
-		own += t
-		if x.stage != flowing || x.flowAt > e.reportAt-0.2 {
+		if own += t; x.stage != flowing || x.flowAt > e.reportAt-reportLag {
 			since += t
 		}
 	}
-	need := q.PromptLen + r.answerTokens(q)
 	if e.report.Has&HasMemShare != 0 && r.now-e.reportAt < 3 {
 		return max(own/e.mem, e.report.MemShare+since/e.mem) + need/e.mem
 	}
 	return (own*float64(r.cfg.Balancers) + need) / e.mem
 }
 
-// paceRoom applies the curve: what f(L+1) leaves above the bound set by the pace aims of the
-// newcomer and of every stream there. Negative means that one of them would fall behind.
+// paceRoom applies the curve: what f(L+1) leaves above the bound set by the pace aims of the newcomer and
+// of every stream there. Negative means that one of them would fall behind.
 func (r *Router) paceRoom(e *engine, q *request) float64 {
 	k := r.curve(e)
 	l, aim := 1, q.class.TokenAim
@@ -581,8 +592,8 @@
 	return pace + 1 - used - e.err, pace >= 0 && used <= memLimit && !full
 }
 
-// bestWriter returns the writer with most room: of the reader's cell, else of another. With
-// untested set, the curve and the first-token time are not asked.
+// bestWriter returns the writer with most room: of the reader's cell, else of another. With untested set,
+// the curve and the first-token time are not asked.
 func (r *Router) bestWriter(q *request, from *engine, left float64, untested bool) *engine {
 	var best *engine
 	most := math.Inf(-1)
@@ -610,8 +621,8 @@
 	return best
 }
 
-// readers returns the usable readers in rendezvous order of the shared beginning (the session
-// where there is none), the same at every router; those with twice the mean of our reads go last.
+// readers returns the usable readers in rendezvous order of the shared beginning (the session where there
+// is none), the same at every router; those with twice the mean of our reads go last.
 func (r *Router) readers(q *request) []*engine {
 	xs := r.pool(func(e *engine) bool { return e.role == Read && r.coldRoom(q, e) })
 	key, total := q.Prefix, 0
@@ -640,7 +651,7 @@
 	if r.cold(e) {
 		e.pushes = append(e.pushes, push{r.now, w})
 	}
-	q.out, q.sentAt, q.expect = q.sent, r.now, expect
+	q.out, q.sentAt, q.expect, q.calledOff = q.sent, r.now, expect, false
 	q.sent++
 }
 
@@ -649,14 +660,9 @@
 	t, tokens, load := r.readTime(q, rd)
 	q.kept = r.keptAt(q, rd)
 	q.tokens, q.load, q.stage, q.reader = tokens, load, reading, rd
-	timeout := max(r.cfg.Tick, q.deadline-r.now-2*r.margin()) // its outcome must come before our answer
-	if q.sent+3 < r.cfg.Limits.MaxAttempts || q.sent == 0 {
-		timeout = min(4*t+0.5, timeout)
-	}
-	r.send(q, rd, t, timeout)
+	r.send(q, rd, t, max(r.cfg.Tick, q.deadline-r.now-2*r.margin())) // the outcome comes before our answer
 	rd.reads = append(rd.reads, q)
-	q.writer = w
-	w.jobs = append(w.jobs, q)
+	r.admitTo(q, w)
 	move := r.moveTime(q, rd, w)
 	if r.cfg.Ahead && move > farReserve*max(0, q.aim-r.now) && r.coldRoom(q, w) && w.State == Ready {
 		r.do(Reserve{q.ID, w.ID})
@@ -666,11 +672,7 @@
 
 // sendWrite sends a read request (or an unread one, as a fallback) to a writer.
 func (r *Router) sendWrite(q *request, w *engine, extra float64) {
-	if q.writer != w {
-		r.unadmit(q)
-		q.writer = w
-		w.jobs = append(w.jobs, q)
-	}
+	r.admitTo(q, w)
 	move := extra
 	if q.stage == parsed {
 		move = r.moveTime(q, q.reader, w)
@@ -679,12 +681,8 @@
 			r.link(q.reader, w).out += q.far
 		}
 	}
-	expect, timeout := r.lag(w)+move, 0.0
-	if q.class.Effect == Repeatable && q.sent+1 < r.cfg.Limits.MaxAttempts {
-		timeout = min(4*expect+1, max(r.cfg.Tick, q.deadline-r.now))
-	}
 	q.stage = writing
-	r.send(q, w, expect, timeout)
+	r.send(q, w, r.lag(w)+move, 0)
 }
 
 // margin is how long before the deadline a final answer is given.
@@ -698,6 +696,7 @@
 		if q.stage == flowing || r.expire(q) {
 			continue
 		}
+		r.rescue(q)
 		if q.stage == parsed {
 			r.placeParsed(q)
 		}
@@ -729,8 +728,8 @@
 	})
 }
 
-// expire answers a request whose time is nearly up, or that can have no further attempt, and
-// drops to the low tier one that can no longer start in time.
+// expire answers a request whose time is nearly up, or that can have no further attempt, and drops to the
+// low tier one that can no longer start in time.
 func (r *Router) expire(q *request) bool {
 	best := r.bestCase(q)
 	q.due = q.deadline - r.margin()
@@ -769,8 +768,8 @@
 	return t + lag
 }
 
-// admitHigh tests one drawn at random from the first few of the high tier, until none passes. It
-// returns those that wait.
+// admitHigh tests one drawn at random from the first few of the high tier, until none passes. It returns
+// those that wait.
 func (r *Router) admitHigh(high []*request) []*request {
 	for again := true; again; {
 		again = false
@@ -784,8 +783,8 @@
 	return high
 }
 
-// admit finds a reader and a writer for a held request and starts the read. Readers after the
-// first are asked only when the one before cannot make the first-token time.
+// admit finds a reader and a writer for a held request and starts the read. Readers after the first are
+// asked only when the one before cannot make the first-token time.
 func (r *Router) admit(q *request, untested bool) bool {
 	if q.sent+2 <= r.cfg.Limits.MaxAttempts {
 		for i, rd := range r.readers(q) {
@@ -802,8 +801,8 @@
 	return r.admitUnread(q, untested)
 }
 
-// admitUnread is a fallback: a mixed engine (or a writer, under local_read) reads the prompt itself.
-// It acts when no reader is in sight, one attempt is left, or no reader can make it in time.
+// admitUnread is a fallback: a mixed engine (or a writer, under local_read) reads the prompt itself. It
+// acts when no reader is in sight, one attempt is left, or no reader can make it in time.
 func (r *Router) admitUnread(q *request, untested bool) bool {
 	var best *engine
 	bestRoom, read := math.Inf(-1), q.PromptLen*2*firstSpt
@@ -824,8 +823,8 @@
 	return best != nil
 }
 
-// placeParsed sends a waiting state to the admitted writer, or to another that passes, or lets go
-// of it in good time (rule 5).
+// placeParsed sends a waiting state to the admitted writer, or to another that passes, or lets go of it in
+// good time (rule 5).
 func (r *Router) placeParsed(q *request) {
 	w := q.writer
 	if w == nil || w.State != Ready || !r.trusted(w) || !r.maySend(q, w) || r.now < w.fullTill {
@@ -838,14 +837,10 @@
 	}
 }
 
-// probes tells whether probes are to be made: only where reports come in no other way.
-func (r *Router) probes() bool {
-	return r.cfg.Report == ReportOnProbe && r.cfg.Limits.Probe && len(r.list) > 0
-}
-
-// probe asks the writers in turn for their load, as often as the price of a probe allows.
+// probe asks the writers in turn for their load where reports come in no other way, as often as the price
+// of a probe allows.
 func (r *Router) probe() {
-	if !r.probes() || r.now < r.probeAt {
+	if r.cfg.Report != ReportOnProbe || !r.cfg.Limits.Probe || r.now < r.probeAt {
 		return
 	}
 	perSecond := probeBudget * max(0.5, r.arrivals.get(r.now, rateWindow))
@@ -887,12 +882,15 @@
 			at = min(at, r.now+recheck, q.due) // its time may be up before the next look
 		} else if q.stage != flowing {
 			at = min(at, q.deadline-r.margin())
+			if look := q.sentAt + patience*q.expect + 0.3; look > r.now {
+				at = min(at, look+r.cfg.Tick)
+			}
 		}
 	}
 	if r.cfg.OnRequest {
 		at = min(at, r.watchAt)
 	}
-	if r.probes() {
+	if r.probeAt > 0 {
 		at = min(at, r.probeAt)
 	}
 	at = max(at, r.now+r.cfg.Tick)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -366,7 +366,7 @@
 	law := func(l int) float64 { return 0.02 * (1 + 0.03*float64(l-1) + 0.0005*float64(l)*float64(l-1)) }
 	for i := 0; i < 3000; i++ {
 		l := 1 + rnd.Intn(60)
-		k.sample(l, law(l), memoryOf)
+		k.sample(l, law(l), 1, memoryOf)
 		k.fit(k.c)
 	}
 	for _, l := range []int{1, 10, 30, 60} {
@@ -381,7 +381,7 @@
 		var k curve
 		k.c = [3]float64{0.02, 0, 0}
 		for i := 0; i < 200; i++ {
-			k.sample(1+i%2*40, pace*float64(200-i), memoryOf)
+			k.sample(1+i%2*40, pace*float64(200-i), 1, memoryOf)
 			k.fit(k.c)
 			if !(k.c[0] > 0) || k.c[1] < 0 || k.c[2] < 0 || k.c[1] > k.c[0] || k.c[2] > k.c[0] {
 				t.Fatalf("fit is %v", k.c)
@@ -408,6 +408,21 @@
 	}
 }
 
+func TestRoughHintsDoNotSlowTheCurve(t *testing.T) {
+	// Every answer has 100 tokens at 0.03 s; hints are a third or three times of it.
+	r := start(t, testConfig(), fleet())
+	e := r.engines["w0"]
+	for i := 0; i < 300; i++ {
+		q := &request{Request: ask("a", 0), class: &r.cfg.Classes[0], flowAt: 1, flowL: 1, stage: flowing}
+		q.MaxOut, q.Hint = 800, 0.06*100*[2]float64{1.0 / 3, 3}[i%2]
+		r.now = 1 + 3
+		r.learnStream(q, e)
+	}
+	if pace := e.pace.c[0]; pace > 0.03*100*2/(100.0/3+300)+0.004 {
+		t.Fatalf("a lone stream is taken to need %g s a token", pace)
+	}
+}
+
 func TestHighTierGoesByDeadlineAndLowWaits(t *testing.T) {
 	var q [3]*request
 	for i := range q {
--- a/brain/state.go
+++ b/brain/state.go
@@ -29,6 +29,7 @@
 	due                    float64 // when the final answer must be given
 	over, low, done        bool    // beyond its tenant's share; in the low tier; answered or given up
 	stage                  stage
+	calledOff              bool    // we called off the attempt out
 	sent, out              int     // attempts made; the number of the one out, or -1
 	mayRun                 bool    // an earlier attempt may have run
 	mayRunAt               float64 // when the first such was sent
@@ -182,14 +183,14 @@
 	return s ^ s>>29
 }
 
-// sample adds the pace seen at concurrency l; older samples keep the share given.
-func (k *curve) sample(l int, pace, keep float64) {
+// sample adds the pace seen at concurrency l with a weight; older samples keep the share given.
+func (k *curve) sample(l int, pace, weight, keep float64) {
 	x := [3]float64{1, float64(l - 1), float64(l) * float64(l-1)}
 	for i := range x {
 		for j := range x {
-			k.a[i][j] = keep*k.a[i][j] + x[i]*x[j]
+			k.a[i][j] = keep*k.a[i][j] + weight*x[i]*x[j]
 		}
-		k.b[i] = keep*k.b[i] + x[i]*pace
+		k.b[i] = keep*k.b[i] + weight*x[i]*pace
 	}
 }
 
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -22,7 +22,7 @@
 		t.Fatal(err)
 	}
 	got := out.String()
-	for _, want := range []string{"OK\tserial=1\n", "engine=10.0.0.1:1\tcap_s=", "engine=10.0.0.2:1\tcap_s=", "OK\tserial=3\n"} {
+	for _, want := range []string{"OK\tserial=1\n", "engine=10.0.0.1:1\tcap_s=", "engine=10.0.0.2:1\n", "OK\tserial=3\n"} {
 		if !strings.Contains(got, want) {
 			t.Errorf("no %q in\n%s", want, got)
 		}
