--- a/brain/brain.go
+++ b/brain/brain.go
@@ -38,7 +38,7 @@
 	fullFor     = 0.3  // s that a writer which turned a request away counts as full
 	shunLink    = 2.0  // s for which a way on which a state was not found is not used
 	holdShare   = 0.5  // share of let_go_by for which a read state may wait for a writer
-	coldSafety  = 0.8  // share of the cold budget that we use
+	coldSafety  = 0.6  // share of the cold budget that we use
 	rateWindow  = 4.0  // s over which send and arrival rates are averaged
 	reportLag   = 0.2  // s by which a load report is taken to be late
 	probeBudget = 5e-3 // points of the result that routine probes may cost
@@ -105,11 +105,9 @@
 
 // members applies a list of engines. A new start of an engine voids what we knew of it.
 func (r *Router) members(ev Members) {
-	if ev.Form == ListLost {
-		r.watching = false
+	if r.watching = ev.Form != ListLost; !r.watching {
 		return
 	}
-	r.watching = true
 	seen := map[string]bool{}
 	for _, n := range ev.Engines {
 		if n.Kind < 0 || n.Kind >= len(r.cfg.Kinds) {
@@ -164,11 +162,11 @@
 // and admission errs to the open side, never to shutting a writer out.
 func (r *Router) answerTokens(q *request) float64 {
 	tokens, share := q.Hint/max(q.class.TokenAim, 1e-3), r.classes[q.Class].share
+	if share == 0 {
+		share = firstShare
+	}
 	if q.Hint <= 0 {
 		tokens = q.MaxOut * share
-		if share == 0 {
-			tokens = q.MaxOut * firstShare
-		}
 	}
 	return max(4, min(tokens, q.MaxOut))
 }
@@ -511,6 +509,11 @@
 	rate := r.sends[e.role].get(r.now, rateWindow) / float64(max(1, warm))
 	var used float64
 	e.pushes, used = since(e.pushes, r.now-r.cfg.Rules.TipAfter)
+	for _, x := range e.jobs {
+		if x != q && (x.stage == reading || x.stage == parsed) { // admitted, still to be sent
+			used += r.weight(x, e.role)
+		}
+	}
 	u := &r.cfg.Rules
 	return used+r.weight(q, e.role) <= coldSafety*u.FallMultiple*u.ColdShare*u.TipAfter*rate
 }
@@ -598,7 +601,7 @@
 	var best *engine
 	most := math.Inf(-1)
 	for _, e := range r.pool(func(e *engine) bool {
-		return e.role != Read && r.maySend(q, e) && (q.writer == e || r.coldRoom(q, e)) &&
+		return e.role != Read && r.maySend(q, e) && r.coldRoom(q, e) &&
 			(from.Cell == e.Cell || r.now >= r.link(from, e).badUntil)
 	}) {
 		room, pass := r.room(e, q)
@@ -827,7 +830,8 @@
 // good time (rule 5).
 func (r *Router) placeParsed(q *request) {
 	w := q.writer
-	if w == nil || w.State != Ready || !r.trusted(w) || !r.maySend(q, w) || r.now < w.fullTill {
+	if w == nil || w.State != Ready || !r.trusted(w) || !r.maySend(q, w) || !r.coldRoom(q, w) ||
+		r.now < w.fullTill {
 		w = r.bestWriter(q, q.reader, math.Inf(1), q.low)
 	}
 	if w != nil {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -212,6 +212,26 @@
 	}
 }
 
+func TestColdBudgetCountsWhatIsAdmittedAndNotYetSent(t *testing.T) {
+	// Reads that end together must not all go to a cold writer: admission takes its part of the budget.
+	m := Members{Form: ListFull, Engines: []Engine{eng("r0", 0, 0), eng("w0", 1, 0), eng("w1", 1, 0)}}
+	m.Engines[2].BootTime = 0.5
+	r := start(t, testConfig(), m)
+	r.sends[Write].add(3, 400, rateWindow) // about one warm request a second
+	for i := 0; i < 30; i++ {
+		r.Step(3, []Event{ask(fmt.Sprint(i), 0)})
+	}
+	n := 0
+	for _, q := range r.engines["w1"].jobs {
+		if q.stage == reading {
+			n++
+		}
+	}
+	if n > 2 {
+		t.Fatalf("%d requests are on their way to a cold writer", n)
+	}
+}
+
 func TestRestartSendsNothingToAColdEngineForAWindow(t *testing.T) {
 	m := Members{Form: ListWarm, Engines: []Engine{eng("r0", 0, 0), eng("w0", 1, 0)}}
 	m.Engines[0].BootTime = 0.5
