--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,7 +23,7 @@
 	firstSpt    = 5e-5 // s a token to read, until the first read ends
 	firstLag    = 0.1  // s from a writer's send to its first token, until one is seen
 	firstFar    = 2e-5 // s a token over a cell's link, until one is seen
-	lengths     = 64   // stream times kept for each class
+	lengths     = 128  // stream times kept for each class
 	firstShare  = 0.3  // of the most allowed that an answer is taken to have, until streams ended
 	firstPace   = 0.02 // s a token of a lone stream, until streams have ended
 	ridge       = 4    // samples that a curve's prior is worth
@@ -385,8 +385,8 @@
 	s := &r.classes[q.Class]
 	s.times = append(s.times, (r.now-q.flowAt)*r.curve(e).speed(l))
 	s.times = s.times[max(0, len(s.times)-lengths):]
-	if len(s.times) >= lengths/4 {
-		s.share = meanOver(s.times, 0.95)
+	if len(s.times) >= lengths/8 {
+		s.share = meanOver(s.times, 0.99)
 	}
 	// Weighed by its guessed length, so that the fit is time over tokens in sum: the mean of single ratios
 	// is far too slow where guesses are rough.
@@ -792,13 +792,13 @@
 	if q.sent+2 <= r.cfg.Limits.MaxAttempts {
 		for i, rd := range r.readers(q) {
 			t, _, _ := r.readTime(q, rd)
+			if i > 2 {
+				continue
+			}
 			if w := r.bestWriter(q, rd, q.aim-r.now-t, untested); w != nil {
 				r.sendRead(q, rd, w)
 				return true
 			}
-			if i == 2 {
-				break
-			}
 		}
 	}
 	return r.admitUnread(q, untested)
