--- a/brain/brain.go
+++ b/brain/brain.go
@@ -15,6 +15,7 @@
 // Defaults of the design, ours.
 const (
 	window      = 4    // requests at the head of the high tier from which one is drawn
+	lowReads    = 2    // reads of ours at a reader above which the low tier waits
 	recheck     = 0.02 // s between looks at held requests when nothing else happens
 	paceSlack   = 0.9  // share of the token pace aim that a prediction may use
 	memLimit    = 0.92 // share of a writer's memory that admissions may fill
@@ -792,7 +793,7 @@
 	if q.sent+2 <= r.cfg.Limits.MaxAttempts {
 		for i, rd := range r.readers(q) {
 			t, _, _ := r.readTime(q, rd)
-			if i > 2 {
+			if i > 2 || untested && len(rd.reads) >= lowReads { // the low tier must not crowd out the high
 				continue
 			}
 			if w := r.bestWriter(q, rd, q.aim-r.now-t, untested); w != nil {
