--- a/brain/brain.go
+++ b/brain/brain.go
@@ -8,7 +8,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -495,11 +497,8 @@
 // capacity is taken to be at least the load that warm engines of its role bear; after our own start we wait
 // a whole window, as others of our sends may be in it.
 func (r *Router) coldRoom(q *request, e *engine) bool {
-	if !r.cold(e) {
-		return true
-	}
-	if r.now < r.started+r.cfg.Rules.TipAfter {
-		return false
+	if cold := r.cold(e); !cold || r.now < r.started+r.cfg.Rules.TipAfter {
+		return !cold
 	}
 	warm := 0
 	for _, x := range r.list {
@@ -754,20 +753,16 @@
 func (r *Router) bestCase(q *request) float64 {
 	t, lag := math.Inf(1), math.Inf(1)
 	for _, e := range r.list {
-		if e.State != Ready {
-			continue
-		}
-		if e.role == Read {
+		if e.State == Ready && e.role == Read {
 			t = min(t, max(32, q.PromptLen-r.keptAt(q, e))*r.spt(e))
-		} else {
+		} else if e.State == Ready {
 			lag = min(lag, r.lag(e))
 		}
 	}
-	if q.stage == parsed {
-		t = 0
-	}
 	if math.IsInf(t+lag, 1) {
 		return 0 // nobody is listed: hold and hope
+	} else if q.stage == parsed {
+		return lag
 	}
 	return t + lag
 }
@@ -790,8 +785,9 @@
 // admit finds a reader and a writer for a held request and starts the read. Readers after the first are
 // asked only when the one before cannot make the first-token time.
 func (r *Router) admit(q *request, untested bool) bool {
+	rds := r.readers(q)
 	if q.sent+2 <= r.cfg.Limits.MaxAttempts {
-		for i, rd := range r.readers(q) {
+		for i, rd := range rds {
 			t, _, _ := r.readTime(q, rd)
 			if i > 2 || untested && len(rd.reads) >= lowReads { // the low tier must not crowd out the high
 				continue
@@ -802,16 +798,20 @@
 			}
 		}
 	}
-	return r.admitUnread(q, untested)
+	last := len(rds) == 0 || q.sent+1 == r.cfg.Limits.MaxAttempts
+	return (last || !untested) && r.admitUnread(q, untested, last)
 }
 
-// admitUnread is a fallback: a mixed engine (or a writer, under local_read) reads the prompt itself. It
-// acts when no reader is in sight, one attempt is left, or no reader can make it in time.
-func (r *Router) admitUnread(q *request, untested bool) bool {
+// admitUnread is a fallback: a mixed engine (or a writer, under local_read) reads the prompt itself, which
+// slows its running answers. Any acts when no reader is in sight or one attempt is left. While readers are
+// merely late only a mixed engine does, one prompt at a time, in time: writers that read fall behind, and
+// the whole fleet with them (i263144, iaa9861).
+func (r *Router) admitUnread(q *request, untested, last bool) bool {
 	var best *engine
 	bestRoom, read := math.Inf(-1), q.PromptLen*2*firstSpt
 	for _, e := range r.pool(func(e *engine) bool {
-		return (e.role == Mixed || e.role == Write && r.cfg.LocalRead) && r.maySend(q, e) && r.coldRoom(q, e)
+		can := e.role == Mixed || e.role == Write && last && r.cfg.LocalRead
+		return can && (last || !slices.ContainsFunc(e.jobs, unread)) && r.maySend(q, e) && r.coldRoom(q, e)
 	}) {
 		room, pass := r.room(e, q)
 		if e.role == Write {
@@ -871,11 +871,7 @@
 	}
 	if r.now >= r.sweep {
 		r.sweep = r.now + idleSession/4
-		for k, s := range r.sessions {
-			if r.now-s.at > idleSession {
-				delete(r.sessions, k)
-			}
-		}
+		maps.DeleteFunc(r.sessions, func(_ string, s session) bool { return r.now-s.at > idleSession })
 	}
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -502,6 +502,29 @@
 	}
 }
 
+func TestWritersDoNotReadWhileReadersAreMerelyLate(t *testing.T) {
+	cfg := testConfig()
+	cfg.LocalRead = true
+	m := fleet()
+	m.Engines = append(m.Engines, eng("m0", 2, 0))
+	r := start(t, cfg, m)
+	for _, e := range r.list {
+		e.spt.add(0.9, 0.005, 1) // every read would take five seconds and more
+	}
+	for i := 0; i < 5; i++ {
+		for _, s := range of[Send](r.Step(1, []Event{ask(fmt.Sprint(i), 0)})) {
+			if s.Engine[0] == 'w' || s.Engine == "m0" && i > 0 {
+				t.Fatalf("request %d went unread to %s", i, s.Engine)
+			}
+		}
+	}
+	// With no reader at all, a writer reads.
+	r = start(t, cfg, Members{Form: ListFull, Engines: []Engine{eng("w0", 1, 0)}})
+	if s := one[Send](t, r.Step(1, []Event{ask("a", 0)})); s.Engine != "w0" {
+		t.Fatalf("sent to %s", s.Engine)
+	}
+}
+
 func TestStrayEventsAreIgnored(t *testing.T) {
 	r := start(t, testConfig(), fleet())
 	r.Step(1, []Event{ask("a", 0)})
--- a/brain/state.go
+++ b/brain/state.go
@@ -269,3 +269,6 @@
 		classes: make([]classStats, len(cfg.Classes)), buckets: make([]bucket, len(cfg.Tenants))}
 	return r, nil
 }
+
+// unread tells of a request that a writer has to read itself.
+func unread(q *request) bool { return q.stage == writing && !q.hasHold }
