--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,7 +41,7 @@
 	fullFor     = 0.3  // s that a writer which turned a request away counts as full
 	shunLink    = 2.0  // s for which a way on which a state was not found is not used
 	holdShare   = 0.5  // share of let_go_by for which a read state may wait for a writer
-	coldSafety  = 1.0  // share of the cold budget that we use; load, not capacity, is what we measure
+	coldSafety  = 0.8  // share of the cold budget that we use; load, not capacity, is what we measure
 	rateWindow  = 4.0  // s over which send and arrival rates are averaged
 	reportLag   = 0.2  // s by which a load report is taken to be late
 	probeBudget = 5e-3 // points of the result that routine probes may cost
