--- a/brain/brain.go
+++ b/brain/brain.go
@@ -714,8 +714,10 @@
 	byDeadline(tiers[0])
 	if len(r.admitHigh(tiers[0])) == 0 {
 		byDeadline(tiers[1])
-		for _, q := range tiers[1] {
-			r.admit(q, true)
+		for i, fails := 0, 0; i < len(tiers[1]) && fails < window; i++ { // bounded: thousands may wait
+			if !r.admit(tiers[1][i], true) {
+				fails++
+			}
 		}
 	}
 	r.probe()
