--- a/brain/brain.go
+++ b/brain/brain.go
@@ -26,8 +26,9 @@
 	homeSlack   = 0.1  // s beside, and
 	homeChoices = 4    // readers in rendezvous order are asked
 	waitForget  = 15.0 // s after which a reader is mostly taken to wait as its kind does
-	homeMost    = 1.2  // times its even part of the beginnings that a reader beside many writers takes
-	homeLeast   = 0.3  // and the part that one without a writer in its cell takes
+	shareWindow = 30.0 // s over which the parts of the shared beginnings in our arrivals are averaged
+	sharePrior  = 5    // requests of other beginnings that are added to them
+	homeLeast   = 0.5  // least part of the beginnings that a reader with few writers in its cell takes
 	linePrior   = 1e7  // squared tokens that the line's prior is worth
 	sptFloor    = 1e-5 // s a token, below which no slope is believed
 	waitGain    = 0.3  // weight of the newest wait at a reader
@@ -112,7 +113,7 @@
 			r.engines[n.ID] = e
 			r.list = append(r.list, e)
 		} else if n.State == Ready && n.BootTime > e.BootTime { // came back empty and cold
-			*e = engine{reads: e.reads, jobs: e.jobs, pushes: e.pushes}
+			*e = engine{reads: e.reads, jobs: e.jobs, pushes: e.pushes, hit: gauge{n: 1, at: r.now}}
 		}
 		e.Engine, e.role, e.mem = n, r.cfg.Kinds[n.Kind].Role, r.cfg.Kinds[n.Kind].Memory
 	}
@@ -120,8 +121,8 @@
 	r.weighHomes()
 }
 
-// weighHomes gives each reader the part of the shared beginnings for which its cell has writers, damped, so
-// that states seldom leave their cell and no lone reader is overrun. Routers with the same list agree on it.
+// weighHomes gives readers with few writers in their cell fewer shared beginnings (the root of the ratio), so
+// that states seldom leave their cell. Routers with the same list agree on it.
 func (r *Router) weighHomes() {
 	cells, all, ready := census(r.list)
 	for role, n := range ready {
@@ -129,7 +130,7 @@
 	}
 	for _, e := range r.list {
 		ratio := cells[e.Cell].writers / max(1, cells[e.Cell].readers) * all.readers / max(1, all.writers)
-		e.home = max(homeLeast, min(homeMost, math.Sqrt(ratio)))
+		e.home = max(homeLeast, min(1, math.Sqrt(ratio)))
 	}
 }
 
@@ -148,12 +149,15 @@
 	r.byID[ev.ID] = q
 	r.open = append(r.open, q)
 	r.arrivals.add(r.now, 1, rateWindow)
+	r.asked.add(r.now, 1, shareWindow)
+	x := r.prefixes[ev.Prefix]
+	x.add(r.now, 1, shareWindow)
+	r.prefixes[ev.Prefix] = x
 	r.classes[ev.Class].prompt.add(r.now, ev.PromptLen, 0.05)
 }
 
-// answerTokens is our guess of an answer's length: the hint, else the class's mean part of the most allowed.
-// The longest streams are taken to have run into that most; where none did, the guess is too long and
-// admission errs to the open side, never to shutting a writer out.
+// answerTokens guesses an answer's length: the hint, else the class's mean part of the most allowed (see
+// learnStream). Where no stream runs into that most, the guess is too long: admission errs to the open side.
 func (r *Router) answerTokens(q *request) float64 {
 	tokens := q.Hint / max(q.class.TokenAim, 1e-3)
 	if q.Hint <= 0 {
@@ -366,9 +370,7 @@
 	if len(s.times) >= lengths/8 {
 		s.share = meanOver(s.times, 0.99)
 	}
-	// Weighed by its guessed length, so that the fit is time over tokens in sum: the mean of single ratios
-	// is far too slow where guesses are rough.
-	weight := tokens / sampleOf
+	weight := tokens / sampleOf // the fit is time over tokens in sum; means of rough ratios are too slow
 	k.sample(l, pace, weight, memoryOf)
 	k.fit(k.c)
 	e.pace.sample(l, pace, weight, memoryOf)
@@ -437,9 +439,8 @@
 	return good
 }
 
-// spt is the time that one more token of our own takes at a reader: the slope of its kind's read times
-// against our load there. With few routers it holds the others' reads too, which come and go with ours; with
-// many they are in the wait.
+// spt is the time that one more token of ours takes at a reader: the slope of its kind's read times. With few
+// routers it holds others' reads too, which come and go with ours; with many those are in the wait.
 func (r *Router) spt(e *engine) float64 {
 	base := max(sptFloor, r.kinds[e.Kind].read.slope(firstSpt, linePrior))
 	if e.wait.n == 0 && r.cold(e) {
@@ -473,10 +474,9 @@
 	return r.answerTokens(q) + 0.1*r.classes[q.Class].prompt.v
 }
 
-// coldRoom tells whether one more send keeps a cold engine within our part of its budget (rule 4). Its
-// capacity is taken to be what warm engines of its role get done on average. A part that comes to a fraction
-// of a send is drawn anew for each window, so that the parts of any number of routers add up. After our own
-// start we wait a window, as others of our sends may be in it.
+// coldRoom tells whether one more send keeps a cold engine within our part of its budget (rule 4), by what
+// warm ones of its role get done. A fraction of a send is drawn anew for each window, so that all routers'
+// parts add up. After our own start we wait a window, as others of our sends may be in it.
 func (r *Router) coldRoom(q *request, e *engine) bool {
 	if cold := r.cold(e); !cold || r.now < r.started+r.cfg.Rules.TipAfter {
 		return !cold
@@ -502,9 +502,6 @@
 	if s, ok := r.sessions[q.Session]; ok && s.reader == e && s.at > e.BootTime {
 		return min(s.prompt, q.PromptLen)
 	}
-	if e.hit.n == 0 && r.cold(e) {
-		return 0
-	}
 	part := e.hit.get(r.now, r.kinds[e.Kind].hit.get(r.now, 0, 0), waitForget)
 	return part * min(q.PrefixLen, q.PromptLen)
 }
@@ -635,8 +632,8 @@
 	return best
 }
 
-// readers returns the usable readers in weighted rendezvous order of the shared beginning (the session where
-// there is none), the same at every router.
+// readers returns the usable readers in weighted rendezvous order of the shared beginning, else the session,
+// the same at all routers. A hot beginning has homes by its part of our arrivals; sessions share them.
 func (r *Router) readers(q *request) []*engine {
 	xs := r.pool(func(e *engine) bool { return e.role == Read && r.coldRoom(q, e) })
 	key := q.Prefix
@@ -644,6 +641,11 @@
 		key = q.Session
 	}
 	rendezvous(xs, key)
+	if q.Prefix != "" {
+		x := r.prefixes[q.Prefix]
+		part := x.get(r.now, 1) / (r.asked.get(r.now, 1) + sharePrior)
+		rendezvous(xs[:min(len(xs), int(math.Ceil(part*float64(len(xs)))))], q.Session)
+	}
 	return xs
 }
 
@@ -794,12 +796,10 @@
 			if untested && crowded || homeSlack+homeFactor*t >= least {
 				continue // the low tier must not crowd out the high, here or at other routers
 			}
-			x := r.bestWriter(q, e, q.aim-r.now-readSlack*t, untested)
-			if x == nil {
-				continue
-			}
-			if t += r.lag(x) + r.moveTime(q, e, x); homeSlack+homeFactor*t < least || rd == nil {
-				rd, w, least = e, x, t
+			if x := r.bestWriter(q, e, q.aim-r.now-readSlack*t, untested); x != nil {
+				if t += r.lag(x) + r.moveTime(q, e, x); homeSlack+homeFactor*t < least || rd == nil {
+					rd, w, least = e, x, t
+				}
 			}
 		}
 		if rd != nil {
@@ -811,10 +811,9 @@
 	return (last || !untested) && r.admitUnread(q, untested, last)
 }
 
-// admitUnread is a fallback: a mixed engine (or a writer, under local_read) reads the prompt itself, which
-// slows its running answers. Any acts when no reader is in sight or one attempt is left. While readers are
-// merely late only a mixed engine does, one prompt at a time, in time: writers that read fall behind, and
-// the whole fleet with them (i263144, iaa9861).
+// admitUnread: a mixed engine (or a writer, under local_read) reads the prompt, slowing its answers. Any does
+// when no reader is in sight or one attempt is left. While readers are merely late only a mixed one does, one
+// prompt at a time, in time: writers that read fall behind, and the fleet with them (i263144, iaa9861).
 func (r *Router) admitUnread(q *request, untested, last bool) bool {
 	var best *engine
 	bestRoom, read := math.Inf(-1), q.PromptLen*2*firstSpt
@@ -823,9 +822,6 @@
 		return can && (last || !slices.ContainsFunc(e.jobs, unread)) && r.maySend(q, e) && r.coldRoom(q, e)
 	}) {
 		room, pass := r.room(e, q)
-		if e.role == Write {
-			room--
-		}
 		if pass && room > bestRoom && (untested || r.now+r.lag(e)+read < q.aim) {
 			best, bestRoom = e, room
 		}
@@ -883,6 +879,7 @@
 	}
 	if r.now >= r.sweep {
 		r.sweep = r.now + idleSession/4
+		maps.DeleteFunc(r.prefixes, func(_ string, x rate) bool { return r.now-x.at > idleSession })
 		maps.DeleteFunc(r.sessions, func(_ string, s session) bool { return r.now-s.at > idleSession })
 	}
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -337,6 +337,33 @@
 	}
 }
 
+func TestHotBeginningHasSeveralHomesAndOthersOne(t *testing.T) {
+	m := Members{Form: ListFull, Engines: []Engine{eng("w", 1, 0)}}
+	for i := range 10 {
+		m.Engines = append(m.Engines, eng(fmt.Sprint("r", i), 0, 0))
+	}
+	r := start(t, testConfig(), m)
+	r.now = 1
+	for i := range 100 {
+		q := ask(fmt.Sprint(i), 0)
+		if i%10 > 2 {
+			q.Prefix = fmt.Sprint("cool", i)
+		}
+		r.arrive(q)
+	}
+	homes := map[string]map[string]bool{"p": {}, "cool9": {}}
+	for i := range 200 {
+		for p := range homes {
+			q := &request{Request: ask("a", 0)}
+			q.Prefix, q.Session = p, fmt.Sprint("s", i)
+			homes[p][r.readers(q)[0].ID] = true
+		}
+	}
+	if n := len(homes["p"]); n < 2 || n > 4 || len(homes["cool9"]) != 1 {
+		t.Fatalf("homes %v", homes)
+	}
+}
+
 func TestOverrunHomePassesToTheNext(t *testing.T) {
 	m := fleet()
 	m.Engines = append(m.Engines, eng("r2", 0, 0), eng("r3", 0, 1))
--- a/brain/state.go
+++ b/brain/state.go
@@ -134,7 +134,8 @@
 	borne           [3]rate  // weight of reads ended and streams begun for us, by role
 	most            [3]int   // engines of each role that were ready at once
 	spread          [3]gauge // by role: s by which attempts' times missed our predictions
-	arrivals        rate
+	arrivals, asked rate
+	prefixes        map[string]rate
 	timerAt         float64
 	timers          int64
 	probeAt         float64
@@ -274,7 +275,7 @@
 		return nil, err
 	}
 	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		engines: map[string]*engine{}, byID: map[string]*request{}, sessions: map[string]session{},
+		prefixes: map[string]rate{}, engines: map[string]*engine{}, byID: map[string]*request{}, sessions: map[string]session{},
 		links: map[linkKey]*link{}, kinds: make([]kindStats, len(cfg.Kinds)),
 		classes: make([]classStats, len(cfg.Classes)), buckets: make([]bucket, len(cfg.Tenants))}
 	return r, nil
