--- a/brain/api.go
+++ b/brain/api.go
@@ -81,7 +81,6 @@
 	ParallelTries bool
 	RetryAfter    bool
 	MaxRetryAfter float64
-	KeepAlive     float64 // s for which an idle connection stays open
 }
 
 // Rules are the figures of the operators' rules.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,9 +52,6 @@
 	errEject    = 0.5  // failure score at which an engine is ejected
 	errTrial    = 0.25 // and above which it gets one request at a time
 	maxEject    = 4.0  // s, the longest ejection before the next trial
-	dialGain    = 0.1  // weight of the newest connection opened in the chance that one fails
-	dialForget  = 20.0 // s after which connections are mostly taken to open again
-	dialCost    = 1.0  // s that a failed connection costs: its time-out and one of few attempts
 	fullFor     = 0.3  // s that a writer which turned a request away counts as full
 	holdShare   = 0.5  // share of let_go_by for which a read state may wait for a writer
 	coldSafety  = 0.8  // share of the cold budget that we use; load, not capacity, is what we measure
@@ -175,7 +172,6 @@
 		return
 	}
 	e := q.writer
-	r.dialed(e, 0)
 	r.borne[e.role].add(r.now, r.weight(q, e.role), rateWindow)
 	q.stage, q.flowAt, q.flowL, q.hasHold = flowing, r.now, r.streams(e), false
 	if q.far > 0 {
@@ -198,7 +194,6 @@
 		return
 	}
 	was, e := q.stage, q.at()
-	r.dialed(e, toInt(ev.Status == NoConnection))
 	if was == writing && !q.hasHold && ev.Status != Served {
 		r.do(Release{q.ID}) // what a mixed engine has read by itself stays held as well
 	}
@@ -288,7 +283,8 @@
 // answer is the best final answer that the ledger allows: a refusal tells the client that a further try is
 // harmless (rule 2).
 func (r *Router) answer(q *request) Action {
-	if q.class.Effect == Repeatable || !q.mayRun && q.out < 0 || q.class.Effect == ByKey && q.class.Group == GroupAll {
+	may := q.mayRun || q.out >= 0
+	if q.class.Effect == Repeatable || !may || q.class.Effect == ByKey && q.class.Group == GroupAll {
 		return Refuse{ID: q.ID}
 	}
 	return Fail{q.ID}
@@ -387,29 +383,18 @@
 	if r.now < e.ejectedTill {
 		return false
 	}
-	waiting := e.waiting()
-	for _, q := range waiting {
-		if r.stuck(q, e) {
-			return false
+	waiting := 0
+	for _, xs := range [2][]*request{e.reads, e.jobs} {
+		for _, q := range xs {
+			if q.stage == reading && q.reader == e || q.stage == writing {
+				waiting++
+				if r.stuck(q, e) {
+					return false
+				}
+			}
 		}
 	}
-	return e.err < errTrial || len(waiting) == 0
-}
-
-// dialed files whether an attempt found a connection where none was warm.
-func (r *Router) dialed(e *engine, failed int) {
-	if r.now >= e.warmTill || failed > 0 {
-		r.dial.add(r.now, float64(failed), dialGain)
-	}
-	e.warmTill = r.now + r.cfg.Limits.KeepAlive*float64(1-failed)
-}
-
-// dialRisk is the chance that a send to an engine finds no connection: none where one is warm.
-func (r *Router) dialRisk(e *engine) float64 {
-	if r.now < e.warmTill {
-		return 0
-	}
-	return r.dial.get(r.now, 0, dialForget)
+	return e.err < errTrial || waiting == 0
 }
 
 // stuck: an attempt is overdue and its engine has done nothing else for us since.
@@ -639,7 +624,6 @@
 		if from.Zone != e.Zone {
 			room -= 0.5
 		}
-		room -= r.dialRisk(e)
 		room += tieSpread * r.rng.Float64() * (1 - r.freshness(e)) // no herd to the first that looks idle
 		if room > most {
 			best, most = e, room
@@ -808,7 +792,6 @@
 		least := math.Inf(1)
 		for _, e := range rds[:min(homeChoices, len(rds))] {
 			t, tokens, _ := r.readTime(q, e)
-			t += dialCost * r.dialRisk(e)
 			crowded := t-(tokens+overhead)*r.spt(e) > lowShare*(q.aim-q.arrived)
 			if untested && crowded || homeSlack+homeFactor*t >= least {
 				continue // the low tier must not crowd out the high, here or at other routers
--- a/brain/state.go
+++ b/brain/state.go
@@ -81,7 +81,6 @@
 	ejectedTill    float64
 	fullTill       float64
 	lastGood       float64
-	warmTill       float64 // until when a connection to it stays open
 	pushes         []push
 	probing        bool
 }
@@ -134,7 +133,6 @@
 	buckets         []bucket
 	borne           [3]rate  // weight of reads ended and streams begun for us, by role
 	most            [3]int   // engines of each role that were ready at once
-	dial            gauge    // part of the connections opened that failed
 	spread          [3]gauge // by role: s by which attempts' times missed our predictions
 	arrivals, asked rate
 	prefixes        map[string]rate
@@ -431,15 +429,3 @@
 	}
 	return 0
 }
-
-// waiting returns our attempts at an engine that have not been answered.
-func (e *engine) waiting() (out []*request) {
-	for _, xs := range [2][]*request{e.reads, e.jobs} {
-		for _, q := range xs {
-			if q.stage == reading && q.reader == e || q.stage == writing {
-				out = append(out, q)
-			}
-		}
-	}
-	return out
-}
--- a/internal/wire/facts.go
+++ b/internal/wire/facts.go
@@ -51,7 +51,6 @@
 		TipAfter     float64 `json:"tip_after_s"`
 	} `json:"guarantees"`
 	Limits struct {
-		KeepAlive     float64 `json:"keepalive_s"`
 		Cancel        bool    `json:"cancel"`
 		MaxAttempts   int     `json:"max_attempts"`
 		MayProbe      bool    `json:"may_probe"`
@@ -97,7 +96,7 @@
 		Tick: f.Tick,
 		Limits: brain.Limits{MaxAttempts: f.Limits.MaxAttempts, Cancel: f.Limits.Cancel, Probe: f.Limits.MayProbe,
 			ParallelTries: f.Limits.ParallelTries, RetryAfter: f.Limits.RetryAfter,
-			MaxRetryAfter: f.Limits.MaxRetryAfter, KeepAlive: f.Limits.KeepAlive},
+			MaxRetryAfter: f.Limits.MaxRetryAfter},
 		Rules: brain.Rules{AnswerSlack: f.Guarantees.AnswerSlack, AskEvery: f.Guarantees.AskEvery,
 			ColdShare: f.Guarantees.ColdShare, ColdFor: f.Guarantees.Cold, DrainGrace: f.Guarantees.DrainGrace,
 			FallMultiple: f.Guarantees.FallMultiple, TipAfter: f.Guarantees.TipAfter, LetGoBy: f.Family.LetGoBy},
