--- a/brain/brain.go
+++ b/brain/brain.go
@@ -451,11 +451,11 @@
 
 // wait is how much longer a reader takes than its load of ours explains.
 func (r *Router) wait(e *engine) float64 {
-	return e.wait.get(r.now, r.kinds[e.Kind].wait.get(r.now, 0, 0), waitForget)
+	return e.wait.get(r.now, r.kinds[e.Kind].wait.get(r.now, 0, forget), waitForget)
 }
 
 func (r *Router) lag(e *engine) float64 {
-	return e.lag.get(r.now, r.kinds[e.Kind].lag.get(r.now, firstLag, 0), forget)
+	return e.lag.get(r.now, r.kinds[e.Kind].lag.get(r.now, firstLag, waitForget), forget)
 }
 
 // curve is the writer's own fit, or its kind's until a stream of ours has ended there.
@@ -548,6 +548,12 @@
 	return math.Exp(-(r.now - e.reportAt) / reportFresh)
 }
 
+// blend draws a report to its kind's mean with age, and that to nothing, so that no bad time locks itself in.
+func (r *Router) blend(e *engine, reported float64, kind *gauge) float64 {
+	mean := kind.get(r.now, 0, waitForget)
+	return mean + (reported-mean)*r.freshness(e)
+}
+
 // sinceReport counts our streams and their tokens at a writer, all and those that its last report has not
 // seen.
 func (r *Router) sinceReport(e *engine) (streams, tokens, newStreams, newTokens float64) {
@@ -564,7 +570,7 @@
 // streams estimates L, all routers' streams at a writer: as reported, and ours since; unreported, ours alone.
 func (r *Router) streams(e *engine) float64 {
 	own, _, fresh, _ := r.sinceReport(e)
-	return max(own, r.kinds[e.Kind].load.toward(reportedLoad(&e.report, perUtil), r.freshness(e))+fresh)
+	return max(own, r.blend(e, reportedLoad(&e.report, perUtil), &r.kinds[e.Kind].load)+fresh)
 }
 
 // memUsed is the share of a writer's memory taken once it has q, estimated as streams are.
@@ -573,7 +579,7 @@
 		return 0
 	}
 	_, own, _, fresh := r.sinceReport(e)
-	used := max(own, r.kinds[e.Kind].mem.toward(e.report.MemShare, r.freshness(e))*e.mem+fresh) / e.mem
+	used := max(own, r.blend(e, e.report.MemShare, &r.kinds[e.Kind].mem)*e.mem+fresh) / e.mem
 	return used + (q.PromptLen+r.answerTokens(q))/e.mem
 }
 
@@ -596,11 +602,11 @@
 	return 1 - k.c[0]/(paceSlack*aim)/k.speed(l)
 }
 
-// room is the room that a writer has for q; pass tells whether it may be admitted there.
-func (r *Router) room(e *engine, q *request) (room float64, pass bool) {
-	pace, used := r.paceRoom(e, q), r.memUsed(e, q)
+// room is the room that a writer has for q, and whether the curve and its memory and queue let q in.
+func (r *Router) room(e *engine, q *request) (room float64, pace, fits bool) {
+	left, used := r.paceRoom(e, q), r.memUsed(e, q)
 	full := r.now < e.fullTill || e.report.Waiting >= 1 && r.now-e.reportAt < 1
-	return pace + 1 - used - e.err, pace >= 0 && used <= memLimit && !full
+	return left + 1 - used - e.err, left >= 0, used <= memLimit && !full
 }
 
 // bestWriter returns the writer with most room: of the reader's cell, else of another. With untested set,
@@ -611,11 +617,14 @@
 	for _, e := range r.pool(func(e *engine) bool {
 		return e.role != Read && r.maySend(q, e) && r.coldRoom(q, e)
 	}) {
-		room, pass := r.room(e, q)
-		if !untested && (!pass || r.lag(e)+r.moveTime(q, from, e) > left) {
+		room, pace, fits := r.room(e, q)
+		if !untested && (!pace || !fits || r.lag(e)+r.moveTime(q, from, e) > left) {
 			continue
 		}
-		if !pass {
+		if !pace || !fits || r.lag(e) > lowShare*(q.aim-q.arrived) {
+			if untested && q.stage == held {
+				continue // the low tier must not crowd out the high at writers either
+			}
 			room -= 100 // overfull ones last of all
 		}
 		if from.Cell != e.Cell {
@@ -821,8 +830,8 @@
 		can := e.role == Mixed || e.role == Write && last && r.cfg.LocalRead
 		return can && (last || !slices.ContainsFunc(e.jobs, unread)) && r.maySend(q, e) && r.coldRoom(q, e)
 	}) {
-		room, pass := r.room(e, q)
-		if pass && room > bestRoom && (untested || r.now+r.lag(e)+read < q.aim) {
+		room, pace, fits := r.room(e, q)
+		if pace && fits && room > bestRoom && (untested || r.now+r.lag(e)+read < q.aim) {
 			best, bestRoom = e, room
 		}
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -411,9 +411,6 @@
 	return n
 }
 
-// toward draws the mean to a value by the trust in it.
-func (g *gauge) toward(v, trust float64) float64 { return g.v + (v-g.v)*trust }
-
 // link returns what we know of a way.
 func (r *Router) link(from, to *engine) *link {
 	k := way(from, to)
