--- a/brain/brain.go
+++ b/brain/brain.go
@@ -451,11 +451,11 @@
 
 // wait is how much longer a reader takes than its load of ours explains.
 func (r *Router) wait(e *engine) float64 {
-	return e.wait.get(r.now, r.kinds[e.Kind].wait.get(r.now, 0, forget), waitForget)
+	return e.wait.get(r.now, r.kinds[e.Kind].wait.get(r.now, 0, 0), waitForget)
 }
 
 func (r *Router) lag(e *engine) float64 {
-	return e.lag.get(r.now, r.kinds[e.Kind].lag.get(r.now, firstLag, waitForget), forget)
+	return e.lag.get(r.now, r.kinds[e.Kind].lag.get(r.now, firstLag, 0), forget)
 }
 
 // curve is the writer's own fit, or its kind's until a stream of ours has ended there.
@@ -548,12 +548,6 @@
 	return math.Exp(-(r.now - e.reportAt) / reportFresh)
 }
 
-// blend draws a report to its kind's mean with age, and that to nothing, so that no bad time locks itself in.
-func (r *Router) blend(e *engine, reported float64, kind *gauge) float64 {
-	mean := kind.get(r.now, 0, waitForget)
-	return mean + (reported-mean)*r.freshness(e)
-}
-
 // sinceReport counts our streams and their tokens at a writer, all and those that its last report has not
 // seen.
 func (r *Router) sinceReport(e *engine) (streams, tokens, newStreams, newTokens float64) {
@@ -570,7 +564,7 @@
 // streams estimates L, all routers' streams at a writer: as reported, and ours since; unreported, ours alone.
 func (r *Router) streams(e *engine) float64 {
 	own, _, fresh, _ := r.sinceReport(e)
-	return max(own, r.blend(e, reportedLoad(&e.report, perUtil), &r.kinds[e.Kind].load)+fresh)
+	return max(own, r.kinds[e.Kind].load.toward(reportedLoad(&e.report, perUtil), r.freshness(e))+fresh)
 }
 
 // memUsed is the share of a writer's memory taken once it has q, estimated as streams are.
@@ -579,7 +573,7 @@
 		return 0
 	}
 	_, own, _, fresh := r.sinceReport(e)
-	used := max(own, r.blend(e, e.report.MemShare, &r.kinds[e.Kind].mem)*e.mem+fresh) / e.mem
+	used := max(own, r.kinds[e.Kind].mem.toward(e.report.MemShare, r.freshness(e))*e.mem+fresh) / e.mem
 	return used + (q.PromptLen+r.answerTokens(q))/e.mem
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -393,6 +393,22 @@
 	one[Send](t, r.Step(1.1, nil))
 }
 
+func TestLowTierWaitsWhereWritersAreSlowToStart(t *testing.T) {
+	r := start(t, testConfig(), fleet())
+	r.Step(0.9, nil)
+	r.now = 1
+	for _, e := range r.list {
+		e.lag.add(1, 0.9, 1)
+	}
+	r.arrive(ask("a", 0))
+	r.byID["a"].low = true
+	none[Send](t, r.Step(1, nil))
+	for _, e := range r.list {
+		e.lag.add(1, 0.1, 1)
+	}
+	one[Send](t, r.Step(1.1, nil))
+}
+
 func TestSmallShareSavesUpWholeRequests(t *testing.T) {
 	cfg := testConfig()
 	cfg.Balancers, cfg.Tenants = 100, []Tenant{{2}}
--- a/brain/state.go
+++ b/brain/state.go
@@ -426,3 +426,6 @@
 	}
 	return 0
 }
+
+// toward draws the mean to a value by the trust in it.
+func (g *gauge) toward(v, trust float64) float64 { return g.v + (v-g.v)*trust }
