--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,7 +17,7 @@
 // Defaults of the design, ours.
 const (
 	window      = 4    // requests at the head of the high tier from which one is drawn
-	lowShare    = 0.5  // share of an aim that a reader's queue may take before the low tier waits
+	lowReads    = 2    // reads of ours at a reader above which the low tier waits
 	readSlack   = 1.3  // times its prediction that the first-token test allows a read; queues grow unseen
 	recheck     = 0.02 // s between looks at held requests when nothing else happens
 	paceSlack   = 0.8  // share of the token pace aim that a prediction may use
@@ -28,6 +28,7 @@
 	waitForget  = 15.0 // s after which a reader is mostly taken to wait as its kind does
 	shareWindow = 30.0 // s over which the parts of the shared beginnings in our arrivals are averaged
 	sharePrior  = 5    // requests of other beginnings that are added to them
+	homeMost    = 1.2  // most of its even part of the beginnings that a reader beside many writers takes
 	homeLeast   = 0.5  // least part of the beginnings that a reader with few writers in its cell takes
 	linePrior   = 1e7  // squared tokens that the line's prior is worth
 	sptFloor    = 1e-5 // s a token, below which no slope is believed
@@ -130,7 +131,7 @@
 	}
 	for _, e := range r.list {
 		ratio := cells[e.Cell].writers / max(1, cells[e.Cell].readers) * all.readers / max(1, all.writers)
-		e.home = max(homeLeast, min(1, math.Sqrt(ratio)))
+		e.home = max(homeLeast, min(homeMost, math.Sqrt(ratio)))
 	}
 }
 
@@ -615,10 +616,7 @@
 		if !untested && (!pace || !fits || r.lag(e)+r.moveTime(q, from, e) > left) {
 			continue
 		}
-		if !pace || !fits || r.lag(e) > lowShare*(q.aim-q.arrived) {
-			if untested && q.stage == held {
-				continue // the low tier must not crowd out the high at writers either
-			}
+		if !pace || !fits {
 			room -= 100 // overfull ones last of all
 		}
 		if from.Cell != e.Cell {
@@ -794,9 +792,8 @@
 		var rd, w *engine
 		least := math.Inf(1)
 		for _, e := range rds[:min(homeChoices, len(rds))] {
-			t, tokens, _ := r.readTime(q, e)
-			crowded := t-(tokens+overhead)*r.spt(e) > lowShare*(q.aim-q.arrived)
-			if untested && crowded || homeSlack+homeFactor*t >= least {
+			t, _, _ := r.readTime(q, e)
+			if untested && len(e.reads) >= lowReads || homeSlack+homeFactor*t >= least {
 				continue // the low tier must not crowd out the high, here or at other routers
 			}
 			if x := r.bestWriter(q, e, q.aim-r.now-readSlack*t, untested); x != nil {
