--- /dev/null
+++ b/api/api.go
@@ -0,0 +1,24 @@
+// Package api holds the published descriptions: JSON Schemas of the files that the program reads.
+package api
+
+import _ "embed"
+
+// ConfigSchema describes a node's configuration.
+//
+//go:embed config.schema.json
+var ConfigSchema []byte
+
+// ListSchema describes an engine list.
+//
+//go:embed list.schema.json
+var ListSchema []byte
+
+// EngineSchema describes the settings of one stand-in engine.
+//
+//go:embed engine.schema.json
+var EngineSchema []byte
+
+// BaddaySchema describes a scripted bad day.
+//
+//go:embed badday.schema.json
+var BaddaySchema []byte
--- /dev/null
+++ b/internal/cli/root.go
@@ -0,0 +1,73 @@
+// Package cli is the command line of dillroute, a file for each sub-command.
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitRun      = 1 // the command could not do its work
+	ExitUsage    = 2 // wrong flags or arguments
+	ExitConfig   = 3 // a file is not what it should be
+	ExitRules    = 4 // a rule was broken
+	exitCodesDoc = `Exit codes: 0 done; 1 the command could not do its work; 2 wrong flags or arguments;
+3 a configuration, list or script is not what it should be; 4 a rule was broken.`
+)
+
+// coded is an error with an exit code.
+type coded struct {
+	code int
+	err  error
+}
+
+func (c *coded) Error() string { return c.err.Error() }
+func (c *coded) Unwrap() error { return c.err }
+
+func withCode(code int, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &coded{code, err}
+}
+
+// Run executes a command line and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.Execute()
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(errOut, "dillroute:", err)
+	var c *coded
+	if errors.As(err, &c) {
+		return c.code
+	}
+	return ExitUsage
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "dillroute",
+		Short: "A router for language-model serving with separate prefill and decode engines",
+		Long: "dillroute takes OpenAI-style chat requests, has prompts read by prefill engines and answers made by decode\n" +
+			"engines, and streams them back.\n\n" + exitCodesDoc,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.AddCommand(serveCommand(), engineCommand(), demoCommand(), configCommand(), versionCommand())
+	return root
+}
+
+// Main runs the program.
+func Main() { os.Exit(Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,113 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"dillroute/internal/config"
+	"dillroute/internal/node"
+
+	"github.com/spf13/cobra"
+)
+
+func serveCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "serve --config FILE",
+		Short: "Run a node",
+		Long: `Run a node until SIGTERM or SIGINT. The first one stops the taking of requests and lets those held end, for
+limits.shutdown_s at most; a second one answers what is held at once. SIGHUP reads the configuration again and
+logs what was taken and what needs a restart.
+
+` + exitCodesDoc,
+		Example: "  dillroute serve --config examples/node.json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if file == "" {
+				return withCode(ExitUsage, fmt.Errorf("serve needs --config FILE"))
+			}
+			return serve(file, cmd.OutOrStdout(), cmd.ErrOrStderr())
+		},
+	}
+	c.Flags().StringVar(&file, "config", "", "the node's configuration (JSON; see dillroute config schema)")
+	return c
+}
+
+// newLogger logs as the configuration says; level can be changed in service.
+func newLogger(w io.Writer, l config.Log) (*slog.Logger, *slog.LevelVar) {
+	level := &slog.LevelVar{}
+	setLevel(level, l)
+	if l.Format == "text" {
+		return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})), level
+	}
+	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})), level
+}
+
+func setLevel(level *slog.LevelVar, l config.Log) {
+	level.UnmarshalText([]byte(l.Level)) // the schema allows the four names alone
+}
+
+func serve(file string, out, errOut io.Writer) error {
+	cfg, err := config.Load(file)
+	if err != nil {
+		return withCode(ExitConfig, err)
+	}
+	log, level := newLogger(errOut, cfg.Log)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	n, err := node.Start(cfg, node.WithLogger(log))
+	if err != nil {
+		return withCode(ExitRun, err)
+	}
+	fmt.Fprintf(out, "listening on http://%s\n", n.Addr())
+	if n.Admin() != nil {
+		fmt.Fprintf(out, "admin on http://%s\n", n.Admin())
+	}
+	var failure error
+	for {
+		select {
+		case failure = <-n.Failed():
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				reload(n, file, log, level)
+				continue
+			}
+			log.Info("stopping", "signal", s.String(), "held_s", n.Config().Limits.Shutdown)
+		}
+		break
+	}
+	stopped := make(chan struct{})
+	go func() {
+		n.Shutdown(time.Duration(n.Config().Limits.Shutdown * float64(time.Second)))
+		close(stopped)
+	}()
+	for {
+		select {
+		case <-stopped:
+			log.Info("stopped")
+			return withCode(ExitRun, failure)
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				n.Hurry()
+			}
+		}
+	}
+}
+
+// reload takes what may change of the file, and says what may not.
+func reload(n *node.Node, file string, log *slog.Logger, level *slog.LevelVar) {
+	next, err := config.Load(file)
+	if err != nil {
+		log.Error("configuration not taken, the old one stays", "error", err.Error())
+		return
+	}
+	taken, refused := n.Reload(next)
+	setLevel(level, n.Config().Log)
+	log.Info("configuration read again", "taken", taken, "needs_restart", refused)
+}
--- /dev/null
+++ b/internal/decide/ending/ending.go
@@ -0,0 +1,178 @@
+// Package ending decides what the end of an attempt proves: which status the routing module is told, whether the
+// request may have run, and whether the engine may still hold something for it. It does no I/O; the caller states
+// facts as they were on the socket. docs/design/node.md holds the same table.
+package ending
+
+import "dillroute/brain"
+
+// Stage is what an attempt asked of its engine.
+type Stage int
+
+// Stages: to read a prompt, or to answer (with or without a state to fetch).
+const (
+	Prefill Stage = iota
+	Decode
+)
+
+// Progress is how far an attempt had come on its socket when it ended.
+type Progress int
+
+// Steps of an attempt, in order. Written means that the connection took every byte of the request; a shorter
+// request cannot run, for its stated length was not reached (RFC 9112, section 8).
+const (
+	Unsent    Progress = iota // nothing was tried yet
+	Dialling                  // no connection yet
+	Connected                 // a connection, but not every byte of the request was written
+	Written                   // the whole request was written
+	Headed                    // the status line and header of the answer have come
+	Streaming                 // the first token has been passed on
+)
+
+// Cause is what ended an attempt.
+type Cause int
+
+// Causes of an end.
+const (
+	Answered   Cause = iota // an answer came, whole
+	Broken                  // dial refused, reset, or closed before the answer was whole
+	Expired                 // the attempt's time ran out
+	Stopped                 // called off by the module
+	Overtaken               // the request had ended, or may have no such attempt
+	Unreadable              // what came is no answer of the protocol
+	Stalled                 // a stream gave nothing for longer than it may
+	ClientLeft              // the client has gone
+)
+
+// Facts are what was seen of an attempt.
+type Facts struct {
+	Stage    Stage
+	Progress Progress
+	Cause    Cause
+	HTTP     int    // status of the answer; 0 = none
+	Code     string // error code in the answer's body
+	State    bool   // Prefill: the answer names the state that waits
+	Kept     int    // prompt tokens that the engine had kept
+	// Agreed tells that another engine has rejected the same request with the same status before.
+	Agreed bool
+	// Last tells that the request can have no further attempt.
+	Last bool
+}
+
+// Verdict is what they prove.
+type Verdict struct {
+	Status brain.Status
+	Info   int
+	Ran    bool // an effect is possible
+	Holds  bool // the engine may hold a state that nobody will take
+	// Final tells that the engine's own answer is to be passed to the client: it has judged the request,
+	// not failed at it.
+	Final bool
+}
+
+// Codes of errors by which an engine says that there is no state to fetch.
+const (
+	CodeStateGone = "kv_state_not_found"
+	CodeNoState   = "kv_state_required"
+)
+
+// Judge applies the table.
+func Judge(f Facts) Verdict {
+	v := Verdict{}
+	switch f.Cause {
+	case Answered:
+		v = answered(f)
+	default:
+		v.Status = unanswered(f)
+	}
+	if f.Stage == Prefill {
+		v.Ran = false // reading has no effect
+		v.Holds = f.Progress >= Written && v.Status != brain.Parsed && v.Status != brain.TurnedAway && !v.Final
+		return v
+	}
+	v.Ran = v.Ran || !provesNot(v.Status)
+	return v
+}
+
+// provesNot tells whether a status proves that the request never ran.
+func provesNot(s brain.Status) bool {
+	return s == brain.TurnedAway || s == brain.NoConnection || s == brain.NotSent || s == brain.Parsed
+}
+
+// unanswered covers the ends without a whole answer.
+func unanswered(f Facts) brain.Status {
+	if f.Progress < Written { // the engine cannot have had the whole request
+		if f.Cause == ClientLeft || f.Cause == Overtaken || f.Progress == Unsent {
+			return brain.NotSent
+		}
+		return brain.NoConnection
+	}
+	switch f.Cause {
+	case Expired, Stalled:
+		return brain.NoAnswer
+	case Stopped, ClientLeft, Overtaken:
+		return brain.CalledOff
+	case Unreadable:
+		return brain.ServerError
+	}
+	return brain.ConnectionLost
+}
+
+// answered covers whole answers, by their HTTP status.
+func answered(f Facts) Verdict {
+	switch {
+	case f.HTTP == 200 && f.Stage == Decode:
+		return Verdict{Status: brain.Served, Ran: true, Info: f.Kept}
+	case f.HTTP == 200 && f.State:
+		return Verdict{Status: brain.Parsed, Info: f.Kept}
+	case f.HTTP == 200: // a reader that read and names no state is of no use
+		return Verdict{Status: brain.ServerError}
+	case f.Code == CodeStateGone || f.Code == CodeNoState:
+		return Verdict{Status: brain.TurnedAway, Info: 1}
+	case f.HTTP == 429 || f.HTTP == 503:
+		return Verdict{Status: brain.TurnedAway}
+	case aboutRequest(f.HTTP):
+		// A judgement of the request, before it ran. One engine may be wrong in it (a model that it lacks, a
+		// key that it does not take), and would then fail every request as fast as it is asked; so a second
+		// one has to agree, unless no attempt is left.
+		if f.Agreed || f.Last {
+			return Verdict{Status: brain.Served, Final: true}
+		}
+		return Verdict{Status: brain.TurnedAway}
+	}
+	return Verdict{Status: brain.ServerError, Ran: f.Stage == Decode}
+}
+
+// aboutRequest tells the statuses by which a server judges the request rather than itself (RFC 9110, 15.5).
+func aboutRequest(status int) bool {
+	switch status {
+	case 400, 404, 405, 411, 413, 414, 415, 422, 431:
+		return true
+	}
+	return false
+}
+
+// Answer is how a final answer that the node itself gives presents itself to the client.
+type Answer struct {
+	HTTP  int
+	Code  string
+	Retry bool // a further try is harmless
+}
+
+// Refused and Failed are the two final answers of the module; Broke ends a stream that had begun, and Whole an
+// answer that was gathered for a client which asked for no stream.
+func Refused() Answer { return Answer{HTTP: 503, Code: "no_capacity", Retry: true} }
+
+// Failed promises nothing.
+func Failed() Answer { return Answer{HTTP: 500, Code: "may_have_run"} }
+
+// Broke is the answer where a stream ended early: repeating is harmless only where the class says so.
+func Broke(effect brain.Effect, group brain.Group) Answer {
+	a := Answer{HTTP: 502, Code: "stream_broken", Retry: Repeats(effect, group, true)}
+	return a
+}
+
+// Repeats tells whether the client may be told that a further try is harmless (rule 2): always where nothing
+// can have run, and else where every engine takes or discards a repeat.
+func Repeats(effect brain.Effect, group brain.Group, mayHaveRun bool) bool {
+	return !mayHaveRun || effect == brain.Repeatable || effect == brain.ByKey && group == brain.GroupAll
+}
--- /dev/null
+++ b/internal/decide/ledger/ledger.go
@@ -0,0 +1,625 @@
+// Package ledger is the node's book of requests and attempts: a state machine between the sockets and the routing
+// module. It is told facts of sockets and actions of the module, and says which events the module is owed and
+// which commands the host is to carry out. It does no I/O, reads no clock and starts no goroutine.
+//
+// It decides nothing about where or when; it holds what both sides agreed on. One final answer for each request,
+// one event for the end of each attempt, no send for what has ended, none to an engine that left the list, none
+// that could make an effect happen twice: an action that would break one of these is not carried out but
+// reported (Fault), for the rules must hold even if the module errs.
+//
+// Order of carrying out: commands are returned in the order in which they must begin. Release comes after the
+// attempt that it follows has ended.
+package ledger
+
+import (
+	"fmt"
+
+	"dillroute/brain"
+	"dillroute/internal/decide/ending"
+)
+
+// Config is what the book needs of the node's settings.
+type Config struct {
+	Classes     []brain.Class
+	MaxOpen     int     // requests held at once
+	MaxAttempts int     // for one request
+	Slack       float64 // s after a client's deadline at which the book answers by itself
+	DrainGrace  float64 // s after which nothing goes to an engine that drains or is gone
+}
+
+// Command is something that the host is to carry out.
+type Command interface{ command() }
+
+// Start begins an attempt. Timeout is in seconds, 0 = none but the client's own.
+type Start struct {
+	ID, Engine string
+	N          int
+	Stage      ending.Stage
+	State      bool // a state waits and is to be fetched
+	StateN     int  // from this attempt
+	Timeout    float64
+}
+
+// Abort ends an attempt that is out, for the cause given; its end is still to be reported.
+type Abort struct {
+	ID    string
+	N     int
+	Cause ending.Cause
+}
+
+// Grant gives the client's answer to an attempt: from now on it alone writes there. Denied tells it to stop.
+type Grant struct {
+	ID string
+	N  int
+	OK bool
+}
+
+// Release lets go of the state that an engine may hold from the attempt N.
+type Release struct {
+	ID, Engine string
+	N          int
+}
+
+// Answer is the node's own final answer to a client.
+type Answer struct {
+	ID         string
+	Answer     ending.Answer
+	RetryAfter float64 // s; 0 = no advice
+	Reason     string
+}
+
+// Pass gives the client the answer by which an engine has judged its request.
+type Pass struct {
+	ID string
+	N  int
+}
+
+// Forget tells that nothing more will come for a request.
+type Forget struct{ ID string }
+
+// Fault tells of an action or a fact that the book could not allow.
+type Fault struct{ Text string }
+
+func (Start) command()   {}
+func (Abort) command()   {}
+func (Grant) command()   {}
+func (Release) command() {}
+func (Answer) command()  {}
+func (Pass) command()    {}
+func (Forget) command()  {}
+func (Fault) command()   {}
+
+// attempt is one attempt of a request.
+type attempt struct {
+	engine    string
+	stage     ending.Stage
+	sentAt    float64
+	over      bool
+	aborting  bool
+	streaming bool
+	withState bool
+}
+
+// entry is one request, until it has ended and no attempt is out and no state is held.
+type entry struct {
+	class     *brain.Class
+	deadline  float64
+	attempts  []attempt
+	out       int    // attempts that have not ended
+	state     string // engine at which a read state waits; "" = none
+	stateN    int    // the attempt that read it
+	ran       bool   // an attempt that has ended may have run
+	ranOn     string
+	ranAt     float64
+	answering bool    // the answer belongs to an attempt
+	concluded bool    // the client has its answer, or has gone
+	rejected  int     // status by which an engine has judged the request
+	farewell  *Answer // given once the attempt that streams has stopped writing
+}
+
+// seen is what the book knows of an engine.
+type seen struct {
+	listed bool
+	state  brain.EngineState
+	since  float64 // when this state was told
+	cell   int
+	zone   int
+	role   brain.Role
+}
+
+// Ledger is the book. It is not safe for concurrent use.
+type Ledger struct {
+	cfg     Config
+	kinds   []brain.Kind
+	open    map[string]*entry
+	engines map[string]*seen
+	live    int // entries not concluded
+	events  []brain.Event
+	cmds    []Command
+	closing bool
+	counts  Counts
+}
+
+// Counts are totals since the start.
+type Counts struct {
+	Taken, TurnedAway, Served, Refused, Failed, Gone, Judged int64
+	Attempts, Faults                                         int64
+}
+
+// New returns an empty book.
+func New(cfg Config, kinds []brain.Kind) *Ledger {
+	return &Ledger{cfg: cfg, kinds: kinds, open: map[string]*entry{}, engines: map[string]*seen{}}
+}
+
+// Reconfigure takes settings that may change in service. Requests that are open keep their class.
+func (l *Ledger) Reconfigure(cfg Config) { l.cfg = cfg }
+
+// Take drains the events and commands that have gathered, in order.
+func (l *Ledger) Take() ([]brain.Event, []Command) {
+	ev, cmd := l.events, l.cmds
+	l.events, l.cmds = nil, nil
+	return ev, cmd
+}
+
+// TakeCommands drains the commands alone.
+func (l *Ledger) TakeCommands() []Command {
+	cmd := l.cmds
+	l.cmds = nil
+	return cmd
+}
+
+// Pending tells whether events wait for the module.
+func (l *Ledger) Pending() bool { return len(l.events) > 0 }
+
+// Live returns how many requests wait for their final answer or stream; Held, how many entries there are.
+func (l *Ledger) Live() int { return l.live }
+
+// Held returns the number of entries, those that only wait for an attempt to end included.
+func (l *Ledger) Held() int { return len(l.open) }
+
+// Counts returns the totals.
+func (l *Ledger) Counts() Counts { return l.counts }
+
+// Deadline returns when the book itself would answer a request (s); ok is false for one that it does not know.
+func (l *Ledger) Deadline(id string) (at float64, ok bool) {
+	e := l.open[id]
+	if e == nil {
+		return 0, false
+	}
+	return e.deadline + l.cfg.Slack, true
+}
+
+func (l *Ledger) emit(ev brain.Event) { l.events = append(l.events, ev) }
+func (l *Ledger) do(c Command)        { l.cmds = append(l.cmds, c) }
+
+func (l *Ledger) fault(format string, args ...any) {
+	l.counts.Faults++
+	l.do(Fault{fmt.Sprintf(format, args...)})
+}
+
+// Request takes a request, or tells why not: such a request is not taken, and a retry is harmless.
+func (l *Ledger) Request(now float64, q brain.Request) (ending.Answer, bool) {
+	switch {
+	case l.closing:
+		l.counts.TurnedAway++
+		return ending.Answer{HTTP: 503, Code: "node_draining", Retry: true}, false
+	case l.live >= l.cfg.MaxOpen:
+		l.counts.TurnedAway++
+		return ending.Answer{HTTP: 429, Code: "node_full", Retry: true}, false
+	case l.open[q.ID] != nil || q.Class < 0 || q.Class >= len(l.cfg.Classes):
+		l.fault("request %s: its id is in use, or its class %d is not known", q.ID, q.Class)
+		return ending.Answer{HTTP: 500, Code: "internal", Retry: true}, false
+	}
+	l.open[q.ID] = &entry{class: &l.cfg.Classes[q.Class], deadline: now + q.TimeLeft}
+	l.live++
+	l.counts.Taken++
+	l.emit(q)
+	return ending.Answer{}, true
+}
+
+// Members files a list before the module sees it, so that both know the same. since is when it was learned.
+func (l *Ledger) Members(now float64, m brain.Members) {
+	if m.Form == brain.ListLost {
+		l.emit(m)
+		return
+	}
+	named := map[string]bool{}
+	for _, n := range m.Engines {
+		named[n.ID] = true
+		s := l.engines[n.ID]
+		if s == nil {
+			s = &seen{since: now}
+			l.engines[n.ID] = s
+		}
+		if s.state != n.State {
+			s.state, s.since = n.State, now
+		}
+		s.listed, s.cell, s.zone = n.State != brain.Removed, n.Cell, n.Zone
+		if n.Kind >= 0 && n.Kind < len(l.kinds) {
+			s.role = l.kinds[n.Kind].Role
+		}
+	}
+	if m.Form != brain.ListChanges {
+		for id, s := range l.engines {
+			if !named[id] && s.state != brain.Removed {
+				s.state, s.since, s.listed = brain.Removed, now, false
+			}
+		}
+	}
+	l.emit(m)
+}
+
+// Apply carries out one action of the module. It returns false for those that are the host's alone (timers,
+// logs, probes, calls to the list's source).
+func (l *Ledger) Apply(now float64, a brain.Action) bool {
+	switch a := a.(type) {
+	case brain.Send:
+		l.send(now, a)
+	case brain.Cancel:
+		l.cancel(a)
+	case brain.Release:
+		l.release(a.ID)
+	case brain.Refuse:
+		l.answer(now, a.ID, ending.Refused(), a.RetryAfter, "no engine could serve this in time")
+	case brain.Fail:
+		l.answer(now, a.ID, ending.Failed(), 0, "an engine may have run this; it was not tried again")
+	case brain.Reserve: // offered only where the protocol has it
+		l.fault("request %s: a place cannot be reserved by this protocol", a.ID)
+	default:
+		return false
+	}
+	return true
+}
+
+// send checks an attempt against the rules and starts it. One that may not be made ends at once as not sent.
+func (l *Ledger) send(now float64, a brain.Send) {
+	e := l.open[a.ID]
+	if e == nil {
+		l.fault("send for %s, which is not open", a.ID)
+		return
+	}
+	n, s := len(e.attempts), l.engines[a.Engine]
+	t := attempt{engine: a.Engine, sentAt: now, stage: ending.Decode}
+	if s != nil && s.role == brain.Read {
+		t.stage = ending.Prefill
+	}
+	t.withState = t.stage == ending.Decode && e.state != ""
+	why := l.objection(now, e, s, &t)
+	t.over = why != ""
+	e.attempts = append(e.attempts, t)
+	l.counts.Attempts++
+	if why != "" {
+		if why != overtaken {
+			l.fault("send of %s to %s: %s", a.ID, a.Engine, why)
+		}
+		l.emit(brain.Outcome{ID: a.ID, Attempt: n, Engine: a.Engine, Status: brain.NotSent, Closed: e.concluded})
+		return
+	}
+	e.out++
+	l.do(Start{ID: a.ID, Engine: a.Engine, N: n, Stage: t.stage, State: t.withState, StateN: e.stateN,
+		Timeout: a.Timeout})
+}
+
+// overtaken is the one objection that is nobody's fault: the client left, or the answer began, while the module
+// was deciding.
+const overtaken = "the request has ended"
+
+// objection says which rule an attempt would break; "" = none.
+func (l *Ledger) objection(now float64, e *entry, s *seen, t *attempt) string {
+	switch {
+	case e.concluded || e.answering:
+		return overtaken
+	case len(e.attempts) >= l.cfg.MaxAttempts:
+		return "no attempt is left"
+	case s == nil:
+		return "no list has named this engine"
+	case s.state != brain.Ready && now > s.since+l.cfg.DrainGrace:
+		return "the engine drains or is gone"
+	case t.stage == ending.Decode && !l.mayRunAgain(now, e, t.engine):
+		return "its effect could happen twice"
+	}
+	return ""
+}
+
+// mayRunAgain is rule 2 for an attempt that has an effect: with others out at the same time, those may run.
+func (l *Ledger) mayRunAgain(now float64, e *entry, engine string) bool {
+	if e.class.Effect == brain.Repeatable {
+		return true
+	}
+	on, at, ran := e.ranOn, e.ranAt, e.ran
+	for i := range e.attempts {
+		if x := &e.attempts[i]; !x.over && x.stage == ending.Decode && !ran {
+			on, at, ran = x.engine, x.sentAt, true
+		}
+	}
+	if !ran {
+		return true
+	}
+	if e.class.Effect == brain.Once || now > at+e.class.KeyTTL {
+		return false
+	}
+	a, b := l.engines[on], l.engines[engine]
+	switch {
+	case e.class.Group == brain.GroupAll:
+		return true
+	case a == nil || b == nil:
+		return false
+	case e.class.Group == brain.GroupZone:
+		return a.zone == b.zone
+	}
+	return a.cell == b.cell
+}
+
+// cancel ends an attempt that has not begun to stream.
+func (l *Ledger) cancel(a brain.Cancel) {
+	e := l.open[a.ID]
+	if e == nil || a.Attempt < 0 || a.Attempt >= len(e.attempts) {
+		return // it had ended
+	}
+	if t := &e.attempts[a.Attempt]; !t.over && !t.streaming && !t.aborting {
+		t.aborting = true
+		l.do(Abort{a.ID, a.Attempt, ending.Stopped})
+	}
+}
+
+// release lets go of the read state that waits, unless an attempt is out to fetch it: the state is its now.
+func (l *Ledger) release(id string) {
+	e := l.open[id]
+	if e == nil || e.state == "" {
+		return
+	}
+	for i := range e.attempts {
+		if t := &e.attempts[i]; !t.over && t.withState {
+			return
+		}
+	}
+	l.do(Release{id, e.state, e.stateN})
+	e.state = ""
+	l.settle(id, e)
+}
+
+// answer concludes a request by the node's own word. A refusal after an effect is possible would be a lie: it
+// becomes a failure.
+func (l *Ledger) answer(now float64, id string, a ending.Answer, after float64, reason string) {
+	e := l.open[id]
+	if e == nil || e.concluded || e.answering {
+		return
+	}
+	if a.Retry && !ending.Repeats(e.class.Effect, e.class.Group, l.mayHaveRun(e)) {
+		l.fault("refusal of %s, which may have run", id)
+		a, after = ending.Failed(), 0
+	}
+	if a.Retry {
+		l.counts.Refused++
+	} else {
+		l.counts.Failed++
+	}
+	l.say(e, Answer{id, a, after, reason})
+	l.conclude(id, e, ending.Overtaken)
+}
+
+// say gives an answer now, or when the attempt that writes to the client has stopped.
+func (l *Ledger) say(e *entry, a Answer) {
+	for i := range e.attempts {
+		if t := &e.attempts[i]; t.streaming && !t.over {
+			e.farewell = &a
+			return
+		}
+	}
+	l.do(a)
+}
+
+// mayHaveRun tells whether an attempt that has ended, or is out, can have had an effect.
+func (l *Ledger) mayHaveRun(e *entry) bool {
+	if e.ran {
+		return true
+	}
+	for i := range e.attempts {
+		if t := &e.attempts[i]; !t.over && t.stage == ending.Decode {
+			return true
+		}
+	}
+	return false
+}
+
+// conclude ends what the client is owed and stops what is still out: nothing is done for it after.
+func (l *Ledger) conclude(id string, e *entry, cause ending.Cause) {
+	if e.concluded {
+		return
+	}
+	e.concluded = true
+	l.live--
+	for i := range e.attempts {
+		if t := &e.attempts[i]; !t.over && !t.aborting {
+			t.aborting = true
+			l.do(Abort{id, i, cause})
+		}
+	}
+	l.settle(id, e)
+}
+
+// settle forgets an entry once nothing hangs on it. A state that is still held is let go of, whatever the
+// module says: the client has its answer, so no send can take it.
+func (l *Ledger) settle(id string, e *entry) {
+	if !e.concluded || e.out > 0 || l.open[id] != e {
+		return
+	}
+	if e.state != "" {
+		l.do(Release{id, e.state, e.stateN})
+		e.state = ""
+	}
+	delete(l.open, id)
+	l.do(Forget{id})
+}
+
+// First is told when the first token of an attempt has come; the attempt waits for its Grant.
+func (l *Ledger) First(now float64, id string, n int) {
+	e := l.open[id]
+	if e == nil || n < 0 || n >= len(e.attempts) {
+		l.fault("first token for %s, attempt %d, which is not open", id, n)
+		return
+	}
+	t := &e.attempts[n]
+	if e.concluded || e.answering || t.over || t.aborting {
+		l.do(Grant{id, n, false})
+		return
+	}
+	e.answering, t.streaming = true, true
+	e.state = "" // the fetch has ended: the reader let its memory go
+	l.do(Grant{id, n, true})
+	l.emit(brain.First{ID: id, Attempt: n, Engine: t.engine, Spent: now - t.sentAt})
+	for i := range e.attempts { // a second copy has lost
+		if o := &e.attempts[i]; i != n && !o.over && !o.aborting {
+			o.aborting = true
+			l.do(Abort{id, i, ending.Stopped})
+		}
+	}
+}
+
+// Ended is told, once, when an attempt has ended. The report may be nil.
+func (l *Ledger) Ended(now float64, id string, n int, f ending.Facts, rep *brain.Report) {
+	e := l.open[id]
+	if e == nil || n < 0 || n >= len(e.attempts) || e.attempts[n].over {
+		l.fault("end of attempt %d of %s, which is not out", n, id)
+		return
+	}
+	t := &e.attempts[n]
+	t.over = true
+	e.out--
+	f.Stage, f.Agreed = t.stage, e.rejected != 0 && e.rejected == f.HTTP
+	f.Last = len(e.attempts) >= l.cfg.MaxAttempts
+	if t.streaming {
+		f.Progress = ending.Streaming
+	}
+	v := ending.Judge(f)
+	if f.Cause == ending.Answered && f.HTTP >= 400 && !v.Final {
+		e.rejected = f.HTTP
+	}
+	if v.Ran && !e.ran {
+		e.ran, e.ranOn, e.ranAt = true, t.engine, t.sentAt
+	}
+	l.states(id, e, n, v)
+	closed := l.closes(id, e, n, v)
+	l.emit(brain.Outcome{ID: id, Attempt: n, Engine: t.engine, Status: v.Status, Info: v.Info,
+		Spent: now - t.sentAt, Closed: closed || e.concluded, Report: rep})
+	if t.streaming && e.farewell != nil {
+		l.do(*e.farewell)
+		e.farewell = nil
+	}
+	if closed {
+		l.conclude(id, e, ending.Overtaken)
+	}
+	l.settle(id, e)
+}
+
+// states keeps the book of the state that waits at a reader.
+func (l *Ledger) states(id string, e *entry, n int, v ending.Verdict) {
+	t := &e.attempts[n]
+	switch {
+	case v.Status == brain.Parsed:
+		if e.state != "" && e.state != t.engine {
+			l.do(Release{id, e.state, e.stateN})
+		}
+		e.state, e.stateN = t.engine, n
+	case v.Holds:
+		l.do(Release{id, t.engine, n})
+	case v.Status == brain.TurnedAway && v.Info == 1, v.Status == brain.Served && t.stage == ending.Decode:
+		e.state = ""
+	}
+}
+
+// closes settles what the end of an attempt means for the client, and counts it. An answer that began and broke
+// ends the request: the client has part of it, and the module is told so.
+func (l *Ledger) closes(id string, e *entry, n int, v ending.Verdict) bool {
+	t := &e.attempts[n]
+	switch {
+	case e.concluded:
+		return false
+	case v.Final:
+		l.counts.Judged++
+		l.do(Pass{id, n})
+		return true
+	case t.streaming && v.Status == brain.Served:
+		l.counts.Served++
+		return true
+	case t.streaming:
+		a := ending.Broke(e.class.Effect, e.class.Group)
+		l.counts.Failed++
+		l.do(Answer{id, a, 0, "the engine stopped before the answer was complete"})
+		return true
+	}
+	return false
+}
+
+// Hangup is told when a client has gone. Where its receiving side may still be open (half), it gets an answer.
+func (l *Ledger) Hangup(now float64, id string, half bool) {
+	e := l.open[id]
+	if e == nil || e.concluded {
+		return
+	}
+	l.counts.Gone++
+	if half {
+		retry := ending.Repeats(e.class.Effect, e.class.Group, l.mayHaveRun(e))
+		l.say(e, Answer{id, ending.Answer{HTTP: 400, Code: "client_closed", Retry: retry}, 0,
+			"the client closed its side before the answer; keep it open until then"})
+	}
+	l.emit(brain.Gone{ID: id})
+	l.conclude(id, e, ending.ClientLeft)
+}
+
+// Overdue is told when the time of Deadline has come. The module answers before it; this is the net under it.
+func (l *Ledger) Overdue(now float64, id string) {
+	e := l.open[id]
+	if e == nil || e.concluded || e.answering {
+		return
+	}
+	l.fault("request %s was not answered in time by the module", id)
+	l.giveUp(id, e, ending.Answer{HTTP: 503, Code: "no_capacity", Retry: true}, "no answer in time")
+}
+
+// giveUp answers in the module's place and tells it so.
+func (l *Ledger) giveUp(id string, e *entry, a ending.Answer, reason string) {
+	if a.Retry && !ending.Repeats(e.class.Effect, e.class.Group, l.mayHaveRun(e)) {
+		a = ending.Failed()
+	}
+	if a.Retry {
+		l.counts.Refused++
+	} else {
+		l.counts.Failed++
+	}
+	l.say(e, Answer{id, a, 0, reason})
+	l.emit(brain.Gone{ID: id})
+	l.conclude(id, e, ending.Overtaken)
+}
+
+// Close stops the taking of requests.
+func (l *Ledger) Close() { l.closing = true }
+
+// EndAll answers every request that is still open, as refused where that is true and else as failed. Streams
+// that run are ended with an error.
+func (l *Ledger) EndAll(now float64) {
+	for _, id := range sortedKeys(l.open) {
+		e := l.open[id]
+		if e.concluded {
+			continue
+		}
+		a := ending.Answer{HTTP: 503, Code: "node_stopping", Retry: true}
+		l.giveUp(id, e, a, "the node is stopping")
+	}
+}
+
+// Heard files what an engine told of its load outside the end of an attempt.
+func (l *Ledger) Heard(p brain.Probed) { l.emit(p) }
+
+// Ready tells whether the node may be sent requests: it is not closing, and some engine is listed as ready.
+func (l *Ledger) Ready() bool {
+	if l.closing {
+		return false
+	}
+	for _, s := range l.engines {
+		if s.state == brain.Ready {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,335 @@
+// Package engine speaks to prefill and decode engines: OpenAI-style endpoints with the transfer parameters of
+// vLLM's disaggregated serving. It states what it saw; what that proves is for internal/decide/ending.
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"dillroute/brain"
+	"dillroute/internal/decide/ending"
+	"dillroute/internal/front"
+	"dillroute/internal/http1"
+)
+
+// Client sends attempts to engines. It is safe for concurrent use.
+type Client struct {
+	Pool     *http1.Pool
+	Node     string        // named in Via
+	Key      string        // bearer key of the engines; "" = none
+	Connect  time.Duration // most time for a connection
+	Stall    func() time.Duration
+	MaxEvent int
+}
+
+// maxReply bounds the whole answers of engines (states, errors), in bytes.
+const maxReply = 1 << 20
+
+// Attempt is one attempt at an engine.
+type Attempt struct {
+	Client    *Client
+	RequestID string // X-Request-Id: names the state at the engines
+	Address   string
+	Body      []byte
+	Extra     []http1.Field // of the client's, to be passed on
+	Timeout   time.Duration // until the whole reply, or the first token
+
+	mu      sync.Mutex
+	conn    *http1.ClientConn
+	aborted bool
+	cause   ending.Cause
+}
+
+// ErrUnfit is wrapped by a Sink's error when the engine's answer, not the client, is at fault.
+var ErrUnfit = errors.New("engine: answer of no use")
+
+// Result is what was seen.
+type Result struct {
+	Facts  ending.Facts
+	State  json.RawMessage // kv_transfer_params of a prefill reply
+	Report *brain.Report
+	Reply  []byte // body of an answer that is no success
+	Err    error
+}
+
+// Sink takes the stream of a decode attempt.
+type Sink interface {
+	// Load is told the engine's load, when its answer begins.
+	Load(*brain.Report)
+	// First waits for leave to answer the client.
+	First() bool
+	// Event passes an event on. An error means that the client is gone.
+	Event(data, raw []byte) error
+	// Finish passes the end on.
+	Finish() error
+}
+
+// Abort ends the attempt, for the cause given, at whatever point it is.
+func (a *Attempt) Abort(cause ending.Cause) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.aborted {
+		a.aborted, a.cause = true, cause
+		if a.conn != nil {
+			a.conn.Close()
+		}
+	}
+}
+
+// attach gives the connection to Abort; false = too late.
+func (a *Attempt) attach(c *http1.ClientConn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn = c
+	return !a.aborted
+}
+
+// detach takes the connection back, so that a late Abort cannot close one that others use.
+func (a *Attempt) detach() {
+	a.mu.Lock()
+	a.conn = nil
+	a.mu.Unlock()
+}
+
+func (a *Attempt) stopped() (ending.Cause, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.cause, a.aborted
+}
+
+// failed names the cause of an error: the abort that made it, the time, or the peer.
+func (a *Attempt) failed(err error, timeout ending.Cause) ending.Cause {
+	if cause, ok := a.stopped(); ok {
+		return cause
+	}
+	var t net.Error
+	var malformed *http1.Error
+	switch {
+	case errors.As(err, &t) && t.Timeout():
+		return timeout
+	case errors.As(err, &malformed), errors.Is(err, http1.ErrEventTooLong):
+		return ending.Unreadable
+	}
+	return ending.Broken
+}
+
+// open connects, writes the request and reads the head of the answer. r holds how far it came.
+func (a *Attempt) open(accept string, r *Result) (*http1.ClientConn, *http1.Response) {
+	start := time.Now()
+	r.Facts.Progress = ending.Dialling
+	c, err := a.Client.Pool.Get(a.Address, min(a.Client.Connect, a.Timeout))
+	if err != nil {
+		r.Err, r.Facts.Cause = err, a.failed(err, ending.Broken)
+		return nil, nil
+	}
+	r.Facts.Progress = ending.Connected
+	if !a.attach(c) {
+		c.Close()
+		r.Facts.Cause, _ = a.stopped()
+		return nil, nil
+	}
+	c.SetDeadline(start.Add(a.Timeout))
+	fields := []http1.Field{{Name: "Content-Type", Value: "application/json"}, {Name: "Accept", Value: accept},
+		{Name: "X-Request-Id", Value: a.RequestID}, {Name: "Via", Value: "1.1 " + a.Client.Node},
+		{Name: "Endpoint-Load-Metrics-Format", Value: "JSON"}}
+	if a.Client.Key != "" {
+		fields = append(fields, http1.Field{Name: "Authorization", Value: "Bearer " + a.Client.Key})
+	}
+	sent, all, err := c.Send("POST", "/v1/chat/completions", append(fields, a.Extra...), a.Body)
+	if sent == all {
+		r.Facts.Progress = ending.Written
+	}
+	var resp *http1.Response
+	if err == nil {
+		resp, err = c.ReadResponse()
+	}
+	if err != nil {
+		r.Err, r.Facts.Cause = err, a.failed(err, ending.Expired)
+		a.detach()
+		c.Close()
+		return nil, nil
+	}
+	r.Facts.Progress, r.Facts.HTTP = ending.Headed, resp.Status
+	r.Report = parseLoad(resp.Header)
+	return c, resp
+}
+
+// Prefill has a prompt read and returns the state that waits.
+func (a *Attempt) Prefill() Result {
+	r := Result{}
+	c, resp := a.open("application/json", &r)
+	if c == nil {
+		return r
+	}
+	body, ok := a.whole(c, resp, &r)
+	if !ok || r.Facts.HTTP != 200 {
+		return r
+	}
+	var reply struct {
+		State json.RawMessage `json:"kv_transfer_params"`
+		Usage struct {
+			Details struct {
+				Cached int `json:"cached_tokens"`
+			} `json:"prompt_tokens_details"`
+		} `json:"usage"`
+	}
+	if err := json.Unmarshal(body, &reply); err != nil {
+		r.Err, r.Facts.Cause = err, ending.Unreadable
+		return r
+	}
+	r.State, r.Facts.Kept = reply.State, max(0, reply.Usage.Details.Cached)
+	r.Facts.State = len(reply.State) > 0 && string(reply.State) != "null"
+	return r
+}
+
+// whole reads a whole answer and files what it says of an error.
+func (a *Attempt) whole(c *http1.ClientConn, resp *http1.Response, r *Result) ([]byte, bool) {
+	body, err := resp.ReadAll(maxReply)
+	a.detach()
+	if err != nil {
+		c.Close()
+		r.Err, r.Facts.Cause = err, a.failed(err, ending.Expired)
+		return nil, false
+	}
+	a.Client.Pool.Done(c, resp)
+	if resp.Status != 200 {
+		var e struct {
+			Error struct {
+				Code string `json:"code"`
+			} `json:"error"`
+		}
+		json.Unmarshal(body, &e) // a body of another shape has no code
+		r.Facts.Code, r.Reply = e.Error.Code, body
+	}
+	return body, true
+}
+
+// Decode has the answer made and passes it to the sink.
+func (a *Attempt) Decode(sink Sink) Result {
+	r := Result{}
+	c, resp := a.open("text/event-stream", &r)
+	if c == nil {
+		return r
+	}
+	if resp.Status != 200 {
+		a.whole(c, resp, &r)
+		return r
+	}
+	if !strings.HasPrefix(strings.ToLower(resp.Header.Get("Content-Type")), "text/event-stream") {
+		a.detach()
+		c.Close()
+		r.Facts.Cause = ending.Unreadable
+		return r
+	}
+	sink.Load(r.Report)
+	r.Report = nil // told already; at the end it is old
+	cause, err := a.stream(c, resp, sink, &r)
+	r.Facts.Cause, r.Err = cause, err
+	a.detach()
+	if cause == ending.Answered {
+		a.Client.Pool.Done(c, resp)
+	} else {
+		c.Close()
+	}
+	return r
+}
+
+// stream passes events until the mark of the end. Events before the first token are kept back, for the answer may
+// yet fail and be made elsewhere.
+func (a *Attempt) stream(c *http1.ClientConn, resp *http1.Response, sink Sink, r *Result) (ending.Cause, error) {
+	events := http1.NewEventReader(resp.Body, a.Client.MaxEvent)
+	defer events.Close()
+	var early [][2][]byte
+	held, first := 0, true
+	for {
+		if !first {
+			c.SetDeadline(time.Now().Add(a.Client.Stall()))
+		}
+		data, raw, err := events.Next()
+		if err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF // the mark of the end is missing
+			}
+			timeout := ending.Expired
+			if !first {
+				timeout = ending.Stalled
+			}
+			return a.failed(err, timeout), err
+		}
+		chunk, err := front.ReadChunk(data)
+		switch {
+		case err != nil:
+			return a.failed(&http1.Error{Status: 502, Reason: err.Error()}, ending.Unreadable), err
+		case chunk.Err != nil:
+			return a.failed(nil, ending.Broken), errors.New("engine: error event: " + chunk.Err.Message)
+		case chunk.Done && first:
+			return ending.Unreadable, errors.New("engine: a stream without a token")
+		case chunk.Done:
+			if err := sink.Finish(); err != nil {
+				return sinkCause(err), err
+			}
+			return ending.Answered, nil
+		case first && !chunk.Token:
+			if held += len(raw); held > a.Client.MaxEvent {
+				return ending.Unreadable, http1.ErrEventTooLong
+			}
+			early = append(early, [2][]byte{bytes.Clone(data), bytes.Clone(raw)})
+			continue
+		case first:
+			if !sink.First() {
+				return a.failed(nil, ending.Broken), nil
+			}
+			first = false
+			r.Facts.Progress = ending.Streaming
+			for _, e := range early {
+				if err := sink.Event(e[0], e[1]); err != nil {
+					return sinkCause(err), err
+				}
+			}
+			early = nil
+		}
+		if err := sink.Event(data, raw); err != nil {
+			return sinkCause(err), err
+		}
+	}
+}
+
+// sinkCause names the cause of a Sink's error.
+func sinkCause(err error) ending.Cause {
+	if errors.Is(err, ErrUnfit) {
+		return ending.Unreadable
+	}
+	return ending.ClientLeft
+}
+
+// Release lets go of a state, by the project's own call. Engines that lack it answer 404, and free the state by
+// their own time-out.
+func (cl *Client) Release(address, requestID string) error {
+	c, err := cl.Pool.Get(address, cl.Connect)
+	if err != nil {
+		return err
+	}
+	c.SetDeadline(time.Now().Add(2 * time.Second))
+	body, _ := json.Marshal(map[string]string{"request_id": requestID})
+	fields := []http1.Field{{Name: "Content-Type", Value: "application/json"}, {Name: "Via", Value: "1.1 " + cl.Node}}
+	if cl.Key != "" {
+		fields = append(fields, http1.Field{Name: "Authorization", Value: "Bearer " + cl.Key})
+	}
+	if _, _, err = c.Send("POST", "/v1/kv/release", fields, body); err == nil {
+		var resp *http1.Response
+		if resp, err = c.ReadResponse(); err == nil {
+			if _, err = resp.ReadAll(maxReply); err == nil {
+				cl.Pool.Done(c, resp)
+				return nil
+			}
+		}
+	}
+	c.Close()
+	return err
+}
--- /dev/null
+++ b/internal/engine/load.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/textproto"
+	"strconv"
+	"strings"
+
+	"dillroute/brain"
+)
+
+// loadHeader carries an engine's load with its answers, by ORCA (Open Request Cost Aggregation).
+const loadHeader = "Endpoint-Load-Metrics"
+
+// parseLoad reads a load header in ORCA's JSON or TEXT form; nil where there is none that can be read.
+func parseLoad(h textproto.MIMEHeader) *brain.Report {
+	v := h.Get(loadHeader)
+	if v == "" || len(v) > 4096 {
+		return nil
+	}
+	form, rest, _ := strings.Cut(v, " ")
+	switch strings.ToUpper(form) {
+	case "JSON":
+		var orca struct {
+			Application *float64           `json:"application_utilization"`
+			CPU         *float64           `json:"cpu_utilization"`
+			Named       map[string]float64 `json:"named_metrics"`
+		}
+		if json.Unmarshal([]byte(rest), &orca) != nil {
+			return nil
+		}
+		r := named(func(name string) (float64, bool) { x, ok := orca.Named[name]; return x, ok })
+		for _, util := range []*float64{orca.CPU, orca.Application} {
+			if util != nil {
+				r.Util, r.Has = *util, r.Has|brain.HasUtil
+			}
+		}
+		return known(r)
+	case "TEXT":
+		values := map[string]float64{}
+		for _, part := range strings.Split(rest, ",") {
+			k, x, _ := strings.Cut(strings.TrimSpace(part), "=")
+			if f, err := strconv.ParseFloat(strings.TrimSpace(x), 64); err == nil {
+				values[strings.TrimPrefix(strings.TrimSpace(k), "named_metrics.")] = f
+			}
+		}
+		r := named(func(name string) (float64, bool) { x, ok := values[name]; return x, ok })
+		for _, name := range []string{"cpu_utilization", "application_utilization"} {
+			if x, ok := values[name]; ok {
+				r.Util, r.Has = x, r.Has|brain.HasUtil
+			}
+		}
+		return known(r)
+	}
+	return nil
+}
+
+// named maps the metrics that engines publish. Active counts waiting requests too, as the module has it.
+func named(get func(string) (float64, bool)) *brain.Report {
+	r := &brain.Report{}
+	if x, ok := get("kv_cache_usage_perc"); ok {
+		r.MemShare, r.Has = x, r.Has|brain.HasMemShare
+	}
+	waiting, hasWaiting := get("num_requests_waiting")
+	if hasWaiting {
+		r.Waiting, r.Has = waiting, r.Has|brain.HasWaiting
+	}
+	if running, ok := get("num_requests_running"); ok {
+		r.Active, r.Has = running+waiting, r.Has|brain.HasActive
+	}
+	return r
+}
+
+// known drops a report that tells nothing, or what cannot be.
+func known(r *brain.Report) *brain.Report {
+	for _, x := range []float64{r.Active, r.Waiting, r.Util, r.MemShare} {
+		if !(x >= 0 && x < 1e9) {
+			return nil
+		}
+	}
+	if r.Has == 0 {
+		return nil
+	}
+	return r
+}
--- /dev/null
+++ b/internal/front/models.go
@@ -0,0 +1,33 @@
+package front
+
+import "encoding/json"
+
+// model is the published shape of a model.
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// ModelList is the answer to GET /v1/models.
+type ModelList struct{ data []model }
+
+// Add names a model.
+func (l *ModelList) Add(id string) { l.data = append(l.data, model{id, "model", 0, "dillroute"}) }
+
+// Bytes writes the list.
+func (l *ModelList) Bytes() []byte {
+	data := l.data
+	if data == nil {
+		data = []model{}
+	}
+	b, _ := json.Marshal(map[string]any{"object": "list", "data": data}) // strings and numbers encode
+	return b
+}
+
+// ModelJSON is the answer to GET /v1/models/ID.
+func ModelJSON(id string) []byte {
+	b, _ := json.Marshal(model{id, "model", 0, "dillroute"})
+	return b
+}
--- /dev/null
+++ b/internal/front/object.go
@@ -0,0 +1,107 @@
+// Package front turns published request shapes into what the node routes by, and its answers into published
+// shapes. What it does not know of a request it leaves as the client wrote it, byte for byte.
+package front
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+)
+
+// Object is a JSON object that keeps its members in order and unread.
+type Object struct {
+	names  []string
+	values map[string]json.RawMessage
+}
+
+// ParseObject reads an object. A member given twice is an error: an engine might take the other one.
+func ParseObject(body []byte) (*Object, error) {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	tok, err := dec.Token()
+	if err != nil {
+		return nil, syntax(err, dec)
+	}
+	if tok != json.Delim('{') {
+		return nil, fmt.Errorf("the body is not a JSON object")
+	}
+	o := &Object{values: map[string]json.RawMessage{}}
+	for dec.More() {
+		tok, err := dec.Token()
+		if err != nil {
+			return nil, syntax(err, dec)
+		}
+		name := tok.(string) // the decoder allows no other token here
+		var raw json.RawMessage
+		if err := dec.Decode(&raw); err != nil {
+			return nil, syntax(err, dec)
+		}
+		if _, twice := o.values[name]; twice {
+			return nil, fmt.Errorf("member %q is given twice", name)
+		}
+		o.names = append(o.names, name)
+		o.values[name] = raw
+	}
+	if _, err := dec.Token(); err != nil {
+		return nil, syntax(err, dec)
+	}
+	if dec.More() {
+		return nil, fmt.Errorf("something follows the object at byte %d", dec.InputOffset())
+	}
+	return o, nil
+}
+
+func syntax(err error, dec *json.Decoder) error {
+	return fmt.Errorf("not valid JSON near byte %d: %v", dec.InputOffset(), err)
+}
+
+// Get returns a member as it was written, or nil. A null counts as absent.
+func (o *Object) Get(name string) json.RawMessage {
+	if v := o.values[name]; string(v) != "null" {
+		return v
+	}
+	return nil
+}
+
+// With returns a copy with members set; a nil value takes the member out.
+func (o *Object) With(set ...Member) *Object {
+	c := &Object{names: append([]string(nil), o.names...), values: make(map[string]json.RawMessage, len(o.values)+len(set))}
+	for k, v := range o.values {
+		c.values[k] = v
+	}
+	for _, m := range set {
+		_, had := c.values[m.Name]
+		switch {
+		case m.Value == nil:
+			delete(c.values, m.Name)
+		case !had:
+			c.names = append(c.names, m.Name)
+			fallthrough
+		default:
+			c.values[m.Name] = m.Value
+		}
+	}
+	return c
+}
+
+// Member is a member of an Object.
+type Member struct {
+	Name  string
+	Value json.RawMessage
+}
+
+// Bytes writes the object.
+func (o *Object) Bytes() []byte {
+	b := []byte{'{'}
+	for _, name := range o.names {
+		v, ok := o.values[name]
+		if !ok {
+			continue
+		}
+		if len(b) > 1 {
+			b = append(b, ',')
+		}
+		key, _ := json.Marshal(name) // a string always encodes
+		b = append(append(append(b, key...), ':'), v...)
+	}
+	return append(b, '}')
+}
--- /dev/null
+++ b/internal/http1/head.go
@@ -0,0 +1,231 @@
+// Package http1 speaks HTTP/1.1 (RFC 9112, RFC 9110) on net connections, as a server and as a client, with
+// server-sent events. Header types and names are those of net/textproto. It is strict where message framing
+// can be read in two ways, because a router in front of other servers is attacked there.
+package http1
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net/textproto"
+	"strings"
+)
+
+// Limits bound what one message may hold.
+type Limits struct {
+	Line    int   // bytes of a request or status line
+	Header  int   // bytes of all header fields together
+	Headers int   // header fields
+	Body    int64 // bytes of a body
+}
+
+// DefaultLimits are those of the published protocol page: 8 KiB, 32 KiB, 100 fields, and 4 MiB of body.
+var DefaultLimits = Limits{Line: 8 << 10, Header: 32 << 10, Headers: 100, Body: 4 << 20}
+
+// Error is a message that cannot be accepted, with the status that answers it.
+type Error struct {
+	Status int
+	Reason string
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("http1: %s (%d)", e.Reason, e.Status) }
+
+func bad(status int, format string, args ...any) error {
+	return &Error{status, fmt.Sprintf(format, args...)}
+}
+
+// errLineTooLong is turned into the status that fits the line.
+var errLineTooLong = errors.New("http1: line too long")
+
+// readLine reads up to CRLF and returns the line without it. A bare LF or CR is an error: it is where two
+// parsers disagree.
+func readLine(br *bufio.Reader, limit int) ([]byte, error) {
+	var whole []byte
+	for {
+		part, err := br.ReadSlice('\n')
+		if len(whole)+len(part) > limit+2 {
+			return nil, errLineTooLong
+		}
+		if err == bufio.ErrBufferFull {
+			whole = append(whole, part...)
+			continue
+		}
+		if err != nil {
+			if len(whole)+len(part) == 0 {
+				return nil, err
+			}
+			return nil, &cutError{err}
+		}
+		if whole != nil {
+			part = append(whole, part...)
+		}
+		n := len(part)
+		if n < 2 || part[n-2] != '\r' {
+			return nil, bad(400, "line ends in a bare LF")
+		}
+		line := part[:n-2]
+		for _, c := range line {
+			if c == '\r' || c == 0 {
+				return nil, bad(400, "control byte %#02x in a line", c)
+			}
+		}
+		return line, nil
+	}
+}
+
+// cutError tells that the peer went away, or a time-out struck, within a message rather than before it.
+type cutError struct{ err error }
+
+func (e *cutError) Error() string { return "http1: message cut short: " + e.err.Error() }
+func (e *cutError) Unwrap() error { return e.err }
+
+// readHeader reads header fields up to the empty line.
+func readHeader(br *bufio.Reader, lim Limits) (textproto.MIMEHeader, error) {
+	h := make(textproto.MIMEHeader, 8)
+	left, fields := lim.Header, 0
+	for {
+		line, err := readLine(br, left)
+		if err == errLineTooLong {
+			return nil, bad(431, "header fields exceed %d bytes", lim.Header)
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(line) == 0 {
+			return h, nil
+		}
+		left -= len(line) + 2
+		if fields++; fields > lim.Headers {
+			return nil, bad(431, "over %d header fields", lim.Headers)
+		}
+		if line[0] == ' ' || line[0] == '\t' {
+			return nil, bad(400, "folded header line")
+		}
+		name, value, ok := strings.Cut(string(line), ":")
+		if !ok {
+			return nil, bad(400, "header line without a colon")
+		}
+		if !isToken(name) {
+			return nil, bad(400, "header name %q is not a token", clip(name))
+		}
+		value = textproto.TrimString(value)
+		if i := strings.IndexFunc(value, isControl); i >= 0 {
+			return nil, bad(400, "control byte in header %q", clip(name))
+		}
+		key := textproto.CanonicalMIMEHeaderKey(name)
+		h[key] = append(h[key], value)
+	}
+}
+
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
+// isToken tells whether s is a token of RFC 9110, section 5.6.2.
+func isToken(s string) bool {
+	if s == "" {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		if c <= ' ' || c >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func clip(s string) string {
+	if len(s) > 40 {
+		return s[:40] + "…"
+	}
+	return s
+}
+
+// framing says how a body is delimited.
+type framing struct {
+	chunked bool
+	length  int64 // -1 = none stated
+}
+
+// readFraming settles the length of a body from Transfer-Encoding and Content-Length, and rejects any message
+// for which two readers could settle it differently (RFC 9112, section 6.3).
+func readFraming(h textproto.MIMEHeader, minor int) (framing, error) {
+	te, hasTE := h["Transfer-Encoding"]
+	cl, hasCL := h["Content-Length"]
+	if hasTE {
+		if hasCL {
+			return framing{}, bad(400, "both Content-Length and Transfer-Encoding")
+		}
+		if minor == 0 {
+			return framing{}, bad(400, "Transfer-Encoding in HTTP/1.0")
+		}
+		if len(te) != 1 || !strings.EqualFold(te[0], "chunked") {
+			if len(te) == 1 && isToken(te[0]) {
+				return framing{}, bad(501, "transfer coding %q is not known", clip(te[0]))
+			}
+			return framing{}, bad(400, "Transfer-Encoding is not one final chunked")
+		}
+		return framing{chunked: true, length: -1}, nil
+	}
+	if !hasCL {
+		return framing{length: -1}, nil
+	}
+	length := int64(-1)
+	for _, field := range cl {
+		for _, v := range strings.Split(field, ",") {
+			n, ok := decimal(textproto.TrimString(v))
+			if !ok {
+				return framing{}, bad(400, "Content-Length %q is not a number", clip(v))
+			}
+			if length >= 0 && n != length {
+				return framing{}, bad(400, "Content-Length given twice, differently")
+			}
+			length = n
+		}
+	}
+	return framing{length: length}, nil
+}
+
+// decimal reads digits alone: no sign, no space, at most 18 of them.
+func decimal(s string) (int64, bool) {
+	if s == "" || len(s) > 18 {
+		return 0, false
+	}
+	n := int64(0)
+	for i := range len(s) {
+		if s[i] < '0' || s[i] > '9' {
+			return 0, false
+		}
+		n = n*10 + int64(s[i]-'0')
+	}
+	return n, true
+}
+
+// hasWord tells whether a comma-separated header names a word, whatever its case.
+func hasWord(values []string, word string) bool {
+	for _, v := range values {
+		for _, w := range strings.Split(v, ",") {
+			if strings.EqualFold(textproto.TrimString(w), word) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// appendHeader writes fields in the order given. Values that could split the message are dropped bytes.
+func appendHeader(b []byte, fields []Field) []byte {
+	for _, f := range fields {
+		b = append(b, f.Name...)
+		b = append(b, ": "...)
+		for i := range len(f.Value) {
+			if c := f.Value[i]; c >= ' ' && c != 0x7f || c == '\t' {
+				b = append(b, c)
+			}
+		}
+		b = append(b, "\r\n"...)
+	}
+	return b
+}
+
+// Field is one header field to be sent.
+type Field struct{ Name, Value string }
--- /dev/null
+++ b/internal/node/loop.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"fmt"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"dillroute/brain"
+	"dillroute/internal/decide/ledger"
+	"dillroute/internal/wheel"
+)
+
+// clock gives seconds since 1970 that never go back: the wall clock at the start, moved on by the monotonic one.
+type clock struct {
+	base  float64
+	start time.Time
+}
+
+func newClock() clock {
+	now := time.Now()
+	return clock{float64(now.UnixNano()) / 1e9, now}
+}
+
+func (c clock) now() float64 { return c.base + time.Since(c.start).Seconds() }
+
+// core is the one owner of the routing module and the book. Everything in it belongs to the goroutine of run;
+// others reach it through post alone.
+type core struct {
+	clock  clock
+	tick   float64
+	router *brain.Router
+	book   *ledger.Ledger
+	wheel  *wheel.Wheel[func(now float64)]
+	carry  func(now float64, c ledger.Command) // begins a command; it does not block
+	side   func(now float64, a brain.Action)   // an action that is the host's alone
+	decide func(seconds float64)               // is told how long each decision took
+	broken func(error)                         // is told that the module has failed
+
+	mu     sync.Mutex
+	inbox  []func(now float64)
+	spare  []func(now float64)
+	wake   chan struct{}
+	closed bool
+
+	stepped float64 // when the module was last asked
+	wakes   []brain.Event
+	quit    bool
+}
+
+// post hands a fact to the owner. It never blocks, and tells whether the owner still runs.
+func (c *core) post(f func(now float64)) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	c.inbox = append(c.inbox, f)
+	if len(c.inbox) == 1 {
+		select {
+		case c.wake <- struct{}{}:
+		default:
+		}
+	}
+	return true
+}
+
+// run is the loop of the owner: facts are filed at once, in order of arrival; the module is asked at most once a
+// tick, with all that has come meanwhile.
+func (c *core) run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for !c.quit {
+		facts := c.drain()
+		now := c.clock.now()
+		for i, f := range facts {
+			f(now)
+			facts[i] = nil
+			c.commands(now)
+		}
+		c.wheel.Advance(now, func(f func(float64)) { f(now) })
+		c.commands(now)
+		pending := c.book.Pending() || len(c.wakes) > 0
+		if pending && now >= c.stepped+c.tick {
+			c.step(now)
+			pending = c.book.Pending()
+		}
+		c.sleep(timer, now, pending)
+	}
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+}
+
+func (c *core) drain() []func(float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	facts := c.inbox
+	c.inbox, c.spare = c.spare[:0], facts
+	return facts
+}
+
+// sleep waits for a fact, the next timer, or the next moment at which the module may be asked.
+func (c *core) sleep(timer *time.Timer, now float64, pending bool) {
+	wait := 3600.0
+	if at, ok := c.wheel.Next(); ok {
+		wait = at - now
+	}
+	if pending {
+		wait = min(wait, c.stepped+c.tick-now)
+	}
+	c.mu.Lock()
+	more := len(c.inbox) > 0
+	c.mu.Unlock()
+	if more || wait <= 0 || c.quit {
+		return
+	}
+	timer.Reset(time.Duration(wait*1e9) + 1)
+	select {
+	case <-c.wake:
+	case <-timer.C:
+	}
+}
+
+// step asks the module and carries out what it says, in its order.
+func (c *core) step(now float64) {
+	events, cmds := c.book.Take()
+	for _, cmd := range cmds {
+		c.carry(now, cmd)
+	}
+	events = append(events, c.wakes...)
+	c.wakes = c.wakes[:0]
+	start := time.Now()
+	acts, err := c.ask(now, events)
+	c.stepped = now
+	if c.decide != nil {
+		c.decide(time.Since(start).Seconds())
+	}
+	if err != nil {
+		c.broken(err)
+		return
+	}
+	for _, a := range acts {
+		if !c.book.Apply(now, a) {
+			if t, ok := a.(brain.Timer); ok {
+				token := t.Token
+				c.wheel.Add(t.At, func(float64) { c.wakes = append(c.wakes, brain.Wake{Token: token}) })
+				continue
+			}
+			c.side(now, a)
+		}
+	}
+	c.commands(now)
+}
+
+// ask turns a panic of the module into an error.
+func (c *core) ask(now float64, events []brain.Event) (acts []brain.Action, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("decision code: %v\n%s", p, debug.Stack())
+		}
+	}()
+	return c.router.Step(now, events), nil
+}
+
+// commands carries out what the book has said.
+func (c *core) commands(now float64) {
+	for _, cmd := range c.book.TakeCommands() {
+		c.carry(now, cmd)
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,338 @@
+// Package node is the host of the routing module: it turns what happens on sockets into the module's events and
+// carries out its actions. One goroutine owns the module and the book of requests (core); each connection and each
+// attempt has a goroutine of its own and talks to the owner by posting facts. The node decides nothing.
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dillroute/brain"
+	"dillroute/internal/config"
+	"dillroute/internal/decide/ending"
+	"dillroute/internal/decide/intake"
+	"dillroute/internal/decide/ledger"
+	"dillroute/internal/engine"
+	"dillroute/internal/front"
+	"dillroute/internal/http1"
+	"dillroute/internal/members"
+	"dillroute/internal/wheel"
+)
+
+// Node is a running router.
+type Node struct {
+	log     *slog.Logger
+	core    *core
+	engines *engine.Client
+	server  *http1.Server
+	admin   *http1.Server
+	watcher *members.Watcher
+	addr    net.Addr
+	aaddr   net.Addr
+	prefix  string // of request ids: no two starts of a node make the same
+	serial  atomic.Uint64
+	view    atomic.Pointer[view]
+	metrics *metrics
+	running jobs // attempts, releases and answers
+	loops   sync.WaitGroup
+	failed  chan error
+	hurry   atomic.Bool
+
+	// Of the owner.
+	calls     map[string]*call
+	addresses map[string]string
+}
+
+// view is what connections need of the settings; it is replaced whole.
+type view struct {
+	cfg   *config.Config
+	table *intake.Table
+	body  []byte // of /v1/models
+}
+
+// Option changes a node from its default.
+type Option func(*options)
+
+type options struct {
+	log      *slog.Logger
+	seed     uint64
+	listener net.Listener
+}
+
+// WithLogger sets where the node logs.
+func WithLogger(l *slog.Logger) Option { return func(o *options) { o.log = l } }
+
+// WithSeed fixes the module's random source.
+func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
+
+// WithListener serves clients on a listener that is open already.
+func WithListener(l net.Listener) Option { return func(o *options) { o.listener = l } }
+
+// Start starts a node. The engine list must be readable.
+func Start(cfg *config.Config, opts ...Option) (*Node, error) {
+	o := options{log: slog.Default(), seed: rand.Uint64()}
+	for _, f := range opts {
+		f(&o)
+	}
+	router, err := brain.New(cfg.Brain(), o.seed)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{log: o.log, calls: map[string]*call{}, addresses: map[string]string{}, failed: make(chan error, 1),
+		prefix: fmt.Sprintf("%s-%08x", cfg.Node.Name, rand.Uint32()), metrics: newMetrics()}
+	n.setView(cfg)
+	clk := newClock()
+	n.core = &core{clock: clk, tick: cfg.Tick, router: router, book: ledger.New(bookConfig(cfg), cfg.Brain().Kinds),
+		wheel: wheel.New[func(float64)](clk.now(), 0.001), wake: make(chan struct{}, 1),
+		carry: n.carry, side: n.side, decide: n.metrics.decided, broken: n.breakDown}
+	n.engines = &engine.Client{Node: cfg.Node.Name, Key: cfg.Engines.Key, Connect: seconds(cfg.Limits.Connect),
+		Stall: func() time.Duration { return seconds(n.view.Load().cfg.Limits.Stall) }, MaxEvent: cfg.Limits.MaxEvent,
+		Pool: &http1.Pool{MaxIdle: cfg.Limits.EngineIdleConns, Idle: seconds(cfg.Limits.EngineIdle),
+			Limits: http1.DefaultLimits}}
+	if err := n.listen(cfg, o.listener); err != nil {
+		return nil, err
+	}
+	parser := &members.Parser{Config: cfg}
+	n.watcher, err = members.Watch(cfg.Engines.File, seconds(cfg.Engines.Poll), parser, n.takeList, func(err error) {
+		n.log.Error("engine list not taken, the last one stays", "error", err.Error())
+	})
+	if err != nil {
+		n.server.Close()
+		if n.admin != nil {
+			n.admin.Close()
+		}
+		return nil, fmt.Errorf("engine list: %w", err)
+	}
+	n.go_(n.core.run)
+	n.sweep()
+	return n, nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func bookConfig(cfg *config.Config) ledger.Config {
+	return ledger.Config{Classes: cfg.Brain().Classes, MaxOpen: cfg.Limits.MaxOpen, MaxAttempts: cfg.Limits.MaxAttempts,
+		Slack: cfg.Rules.AnswerSlack, DrainGrace: cfg.Rules.DrainGrace}
+}
+
+// go_ runs a loop that Stop waits for.
+func (n *Node) go_(f func()) {
+	n.loops.Add(1)
+	go func() { defer n.loops.Done(); f() }()
+}
+
+// listen opens the sockets.
+func (n *Node) listen(cfg *config.Config, l net.Listener) error {
+	var err error
+	if l == nil {
+		if l, err = net.Listen("tcp", cfg.Listen); err != nil {
+			return fmt.Errorf("/listen: %w", err)
+		}
+	}
+	lim := http1.DefaultLimits
+	lim.Body = cfg.Limits.MaxBody
+	n.addr = l.Addr()
+	n.server = &http1.Server{Handler: http1.HandlerFunc(n.serve), Limits: lim, MaxConns: cfg.Limits.MaxConnections,
+		MaxBytes: cfg.Limits.MaxHeld, Fault: fault,
+		Times: http1.Times{Head: seconds(cfg.Limits.Head), Body: seconds(cfg.Limits.Body), Idle: seconds(cfg.Limits.Idle),
+			Write: seconds(cfg.Limits.Write)}}
+	if cfg.Admin != "" {
+		al, err := net.Listen("tcp", cfg.Admin)
+		if err != nil {
+			l.Close()
+			return fmt.Errorf("/admin: %w", err)
+		}
+		n.aaddr = al.Addr()
+		n.admin = &http1.Server{Handler: http1.HandlerFunc(n.serveAdmin), Limits: http1.DefaultLimits,
+			Times: http1.DefaultTimes, MaxConns: 100, MaxBytes: 1 << 20}
+		n.go_(func() { n.admin.Serve(al) })
+	}
+	n.go_(func() { n.server.Serve(l) })
+	return nil
+}
+
+// Addr is where clients connect; Admin is nil where there is none.
+func (n *Node) Addr() net.Addr { return n.addr }
+
+// Admin returns the address of the admin listener, or nil.
+func (n *Node) Admin() net.Addr { return n.aaddr }
+
+// Failed gets an error if the module breaks down; the node has answered what it held, and should be stopped.
+func (n *Node) Failed() <-chan error { return n.failed }
+
+// takeList hands a list to the owner.
+func (n *Node) takeList(l *members.List) {
+	n.log.Info("engine list taken", "engines", len(l.Engines))
+	n.core.post(func(now float64) {
+		for id, a := range l.Addresses {
+			n.addresses[id] = a
+		}
+		for id := range n.addresses {
+			if _, ok := l.Addresses[id]; !ok && len(n.calls) == 0 {
+				delete(n.addresses, id)
+			}
+		}
+		n.core.book.Members(now, brain.Members{Form: brain.ListFull, Engines: l.Engines})
+	})
+}
+
+// sweep closes idle engine connections now and then.
+func (n *Node) sweep() {
+	n.core.post(func(now float64) {
+		var again func(float64)
+		again = func(now float64) {
+			n.running.start(n.engines.Pool.Sweep)
+			n.core.wheel.Add(now+1, again)
+		}
+		again(now)
+	})
+}
+
+// Reload takes what may change of a new configuration, and says what may not.
+func (n *Node) Reload(next *config.Config) (taken, refused []string) {
+	merged, taken, refused := n.view.Load().cfg.Merge(next)
+	n.setView(merged)
+	n.core.post(func(float64) { n.core.book.Reconfigure(bookConfig(merged)) })
+	return taken, refused
+}
+
+// Config returns the settings in force.
+func (n *Node) Config() *config.Config { return n.view.Load().cfg }
+
+func (n *Node) setView(cfg *config.Config) {
+	models, rules := map[string]int{}, []intake.Rule{}
+	list := front.ModelList{}
+	for _, m := range cfg.Models {
+		models[m.Name], _ = cfg.ClassIndex(m.Class)
+		list.Add(m.Name)
+	}
+	for _, m := range cfg.Match {
+		class, _ := cfg.ClassIndex(m.Class)
+		r := intake.Rule{Model: m.Model, Header: m.Header, Class: class, AnyValue: m.Value == nil}
+		if m.Value != nil {
+			r.Value = *m.Value
+		}
+		rules = append(rules, r)
+	}
+	var classes []intake.Class
+	for _, c := range cfg.Classes {
+		classes = append(classes, intake.Class{Patience: c.Patience, PatiencePerK: c.PatiencePerK, MaxTokens: c.MaxTokens})
+	}
+	var keys, hashes [][]string
+	for _, t := range cfg.Tenants {
+		keys, hashes = append(keys, t.Keys), append(hashes, t.KeysSHA256)
+	}
+	n.view.Store(&view{cfg, intake.NewTable(classes, models, rules, keys, hashes), list.Bytes()})
+}
+
+// Shutdown stops taking requests, lets held ones go on for the time given, answers the rest as refused or failed,
+// and stops the node.
+func (n *Node) Shutdown(wait time.Duration) {
+	n.server.Drain()
+	n.core.post(func(now float64) { n.core.book.Close() })
+	deadline := time.Now().Add(wait)
+	for time.Now().Before(deadline) && !n.hurry.Load() && n.live() > 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	n.core.post(func(now float64) { n.core.book.EndAll(now) })
+	grace := time.Now().Add(2 * time.Second)
+	for time.Now().Before(grace) && n.held() > 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	n.running.wait()
+	n.server.Wait(time.Second)
+	n.Stop()
+}
+
+// Hurry makes a Shutdown that waits give its last answers now.
+func (n *Node) Hurry() { n.hurry.Store(true) }
+
+func (n *Node) live() int { return n.ask(func() int { return n.core.book.Live() }) }
+func (n *Node) held() int { return n.ask(func() int { return n.core.book.Held() }) }
+
+// ask reads a figure from the owner; 0 once it has stopped.
+func (n *Node) ask(f func() int) int {
+	got := make(chan int, 1)
+	if !n.core.post(func(float64) { got <- f() }) {
+		return 0
+	}
+	return <-got
+}
+
+// Stop cuts everything and waits for all goroutines. What was held gets no answer: it is a kill.
+func (n *Node) Stop() {
+	n.server.Drain()
+	if n.watcher != nil {
+		n.watcher.Close()
+	}
+	n.core.post(func(now float64) {
+		for _, c := range n.calls {
+			for _, a := range c.attempts {
+				a.Abort(ending.Overtaken)
+			}
+			c.x.Cut()
+		}
+		n.core.book.Close()
+	})
+	n.server.Close()
+	if n.admin != nil {
+		n.admin.Close()
+	}
+	n.running.wait()
+	n.core.post(func(float64) { n.core.quit = true })
+	n.loops.Wait()
+	n.running.wait() // what the owner started meanwhile
+	n.engines.Pool.Close()
+}
+
+// breakDown is called by the owner when the module has panicked: what is held gets its answer by the book's own
+// rules, and no more is taken.
+func (n *Node) breakDown(err error) {
+	n.log.Error("the routing module failed; the node stops", "error", err.Error())
+	n.core.book.Close()
+	n.core.book.EndAll(n.core.clock.now())
+	n.core.commands(n.core.clock.now())
+	select {
+	case n.failed <- err:
+	default:
+	}
+}
+
+// side carries out the actions that concern neither requests nor time.
+func (n *Node) side(now float64, a brain.Action) {
+	switch a := a.(type) {
+	case brain.Log:
+		n.log.Info("module", "text", a.Text)
+	case brain.Probe: // not offered: the module is told so in its settings
+		n.log.Error("the module asks for a probe that is not offered", "engine", a.Engine)
+	}
+}
+
+// call is one client's request. The owner has it, but for x, which belongs to the attempt that was granted the
+// answer, and before that to the owner.
+type call struct {
+	id       string
+	x        *http1.Exchange
+	chat     *front.Chat
+	extra    []http1.Field
+	attempts map[int]*engine.Attempt
+	grants   map[int]chan bool
+	states   map[int]json.RawMessage // by the attempt that read them
+	replies  map[int]reply
+	guard    *wheel.Timer[func(float64)]
+	answered bool // the answer has been given to a goroutine of its own
+	granted  bool
+	started  time.Time
+}
+
+// reply is an engine's own answer, kept in case it is passed on.
+type reply struct {
+	status int
+	body   []byte
+}
--- /dev/null
+++ b/lab/fleet/fleet.go
@@ -0,0 +1,135 @@
+// Package fleet keeps a set of stand-in engines, the list that names them, and what each node has been told of it.
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"dillroute/lab/record"
+	"dillroute/lab/standin"
+)
+
+// Member is one engine and its place.
+type Member struct {
+	standin.Settings
+	Kind, Cell, Zone string
+}
+
+// Fleet is a set of engines.
+type Fleet struct {
+	log     *record.Log
+	members []Member
+	engines map[string]*standin.Engine
+
+	mu     sync.Mutex
+	states map[string]string // by engine: "", draining, gone
+}
+
+// New makes a fleet that does not run yet. The log may be nil.
+func New(members []Member, l *record.Log) *Fleet {
+	f := &Fleet{log: l, members: members, engines: map[string]*standin.Engine{}, states: map[string]string{}}
+	for _, m := range members {
+		f.engines[m.ID] = standin.New(m.Settings, l)
+	}
+	return f
+}
+
+// Start starts all engines, warm.
+func (f *Fleet) Start() error {
+	var errs []error
+	for _, m := range f.members {
+		errs = append(errs, f.engines[m.ID].Start(false))
+	}
+	return errors.Join(errs...)
+}
+
+// Stop kills all engines.
+func (f *Fleet) Stop() {
+	var wg sync.WaitGroup
+	for _, e := range f.engines {
+		wg.Add(1)
+		go func() { defer wg.Done(); e.Kill() }()
+	}
+	wg.Wait()
+	standin.CloseIdle()
+}
+
+// Engine returns an engine by its id, or nil.
+func (f *Fleet) Engine(id string) *standin.Engine { return f.engines[id] }
+
+// Members returns the members, in their order.
+func (f *Fleet) Members() []Member { return f.members }
+
+// Mark says what the list is to tell of an engine: "" (ready), "draining" or "gone".
+func (f *Fleet) Mark(id, state string) {
+	f.mu.Lock()
+	f.states[id] = state
+	f.mu.Unlock()
+}
+
+// entry is an engine in a list file, by its published shape.
+type entry struct {
+	ID      string  `json:"id"`
+	Address string  `json:"address"`
+	Kind    string  `json:"kind"`
+	Cell    string  `json:"cell,omitempty"`
+	Zone    string  `json:"zone,omitempty"`
+	State   string  `json:"state,omitempty"`
+	Boot    float64 `json:"boot_time,omitempty"`
+}
+
+// Snapshot is a list as it stood at a moment.
+type Snapshot struct {
+	Text   []byte
+	States map[string]string // of each engine: ready, draining or gone
+}
+
+// List writes the list as it stands. An engine that was never restarted has no start time.
+func (f *Fleet) List() Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := Snapshot{States: map[string]string{}}
+	entries := []entry{}
+	for _, m := range f.members {
+		e := f.engines[m.ID]
+		state := f.states[m.ID]
+		s.States[m.ID] = state
+		if state == "" {
+			s.States[m.ID] = "ready"
+		}
+		if state == "gone" {
+			continue
+		}
+		n := entry{ID: m.ID, Address: e.Address(), Kind: m.Kind, Cell: m.Cell, Zone: m.Zone, State: state}
+		if at, cold := e.ColdBoot(); cold {
+			n.Boot = at
+		}
+		entries = append(entries, n)
+	}
+	s.Text, _ = json.MarshalIndent(map[string]any{"engines": entries}, "", " ") // plain strings and numbers encode
+	return s
+}
+
+// Publish gives a snapshot to a node: its list file is replaced in one step, and what it was told is recorded.
+func (f *Fleet) Publish(s Snapshot, node, path string) error {
+	tmp, err := os.CreateTemp(filepath.Dir(path), ".list-*")
+	if err != nil {
+		return err
+	}
+	_, err = tmp.Write(s.Text)
+	if err = errors.Join(err, tmp.Close()); err == nil {
+		err = os.Rename(tmp.Name(), path)
+	}
+	if err != nil {
+		os.Remove(tmp.Name())
+		return err
+	}
+	at := record.Now()
+	for id, state := range s.States {
+		f.log.Add(record.Record{T: at, Kind: record.Told, Node: node, Engine: id, State: state})
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/record/record.go
@@ -0,0 +1,109 @@
+// Package record keeps what passed on the sockets of a run, as clients, engines and list sources saw it. The rule
+// checker judges by nothing else.
+package record
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Kind names what was seen.
+type Kind string
+
+// What clients see.
+const (
+	Ask    Kind = "ask"    // a request was sent whole
+	First  Kind = "first"  // the first piece of an answer came
+	Answer Kind = "answer" // the answer ended; Outcome says how
+	Hangup Kind = "hangup" // the client left by its own choice
+	// More is a second final answer, or anything after the final one.
+	More Kind = "more"
+)
+
+// What engines see.
+const (
+	Arrive   Kind = "arrive"    // a whole request came in
+	Turned   Kind = "turned"    // it was turned away
+	Run      Kind = "run"       // its effect began: the answer is being made
+	End      Kind = "end"       // the attempt ended at the engine
+	Parsed   Kind = "parsed"    // a state waits from now on
+	StateEnd Kind = "state_end" // it was fetched, released, or lost
+	Boot     Kind = "boot"      // the engine started, cold if Tokens is 1
+	Died     Kind = "died"
+)
+
+// What the source of the list and the keeper of the nodes see.
+const (
+	Told     Kind = "told" // a node was given a list that says State of Engine
+	NodeUp   Kind = "node_up"
+	NodeKill Kind = "node_kill"
+)
+
+// Outcome says how an answer ended for the client.
+type Outcome string
+
+// Outcomes.
+const (
+	Served  Outcome = "served"
+	Refused Outcome = "refused" // with the word that a retry is harmless
+	Failed  Outcome = "failed"
+	Cut     Outcome = "cut"     // the connection broke without a final answer
+	Unmet   Outcome = "unmet"   // the node could not be reached
+	Overdue Outcome = "overdue" // nothing came in time
+)
+
+// Record is one thing seen. Which fields are set depends on Kind.
+type Record struct {
+	T       float64 // Unix seconds
+	Kind    Kind
+	Op      string // what the user wants done; its tries share it
+	Try     int
+	Class   string
+	Node    string
+	Engine  string
+	State   string // id of a state, or the state of an engine in a list
+	Outcome Outcome
+	Tokens  float64 // of the prompt, or of the answer made
+	Note    string
+	OK      bool // Answer: the text is what it should be
+}
+
+// Log keeps records. It is safe for concurrent use.
+type Log struct {
+	mu sync.Mutex
+	rs []Record
+}
+
+// Now is the time as records have it.
+func Now() float64 { return float64(time.Now().UnixNano()) / 1e9 }
+
+// Add files a record, at the present time if it has none.
+func (l *Log) Add(r Record) {
+	if l == nil {
+		return
+	}
+	if r.T == 0 {
+		r.T = Now()
+	}
+	l.mu.Lock()
+	l.rs = append(l.rs, r)
+	l.mu.Unlock()
+}
+
+// All returns the records in order of time.
+func (l *Log) All() []Record {
+	l.mu.Lock()
+	rs := slices.Clone(l.rs)
+	l.mu.Unlock()
+	slices.SortStableFunc(rs, func(a, b Record) int {
+		switch {
+		case a.T < b.T:
+			return -1
+		case a.T > b.T:
+			return 1
+		}
+		return 0
+	})
+	return rs
+}
--- /dev/null
+++ b/lab/standin/fault.go
@@ -0,0 +1,176 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"dillroute/lab/record"
+)
+
+// Faults are what is wrong with an engine at a moment. The zero value is a sound one. POST /lab/fault sets them.
+type Faults struct {
+	Errors      float64  `json:"errors,omitempty"`       // share of requests that fail at once with 500
+	Refuse      bool     `json:"refuse,omitempty"`       // everything is turned away with 503
+	Reject      int      `json:"reject,omitempty"`       // everything is judged with this status
+	Silent      bool     `json:"silent,omitempty"`       // requests are taken and never answered
+	Slow        float64  `json:"slow,omitempty"`         // times slower
+	LinkSlow    float64  `json:"link_slow,omitempty"`    // states leave it so many times slower
+	Garbage     bool     `json:"garbage,omitempty"`      // 200 and no sense
+	LyingChunk  bool     `json:"lying_chunk,omitempty"`  // a chunk size beyond what follows, then the end
+	CutBody     bool     `json:"cut_body,omitempty"`     // a body shorter than its length says
+	HalfClose   int      `json:"half_close,omitempty"`   // after this many events its sending side closes; the socket stays
+	CutAfter    *int     `json:"cut_after,omitempty"`    // streams are cut after this many events
+	DieAfter    *int     `json:"die_after,omitempty"`    // the engine dies after this many events of a stream
+	DropAfter   bool     `json:"drop_after,omitempty"`   // states are lost right after the read
+	StallAfter  int      `json:"stall_after,omitempty"`  // streams stall after this many events
+	StallS      float64  `json:"stall_s,omitempty"`      // for this long
+	PauseMS     float64  `json:"pause_ms,omitempty"`     // steps pause for this long,
+	PauseShare  float64  `json:"pause_share,omitempty"`  // this share of them
+	HandshakeMS float64  `json:"handshake_ms,omitempty"` // new connections are served so late
+	ReportLate  float64  `json:"report_late,omitempty"`  // load is refreshed so many times more seldom
+	Cut         []string `json:"cut,omitempty"`          // nodes and engines that it cannot hear
+}
+
+// SetFaults replaces what is wrong.
+func (e *Engine) SetFaults(f Faults) { e.faults.Store(&f) }
+
+// ChangeFaults changes what is wrong.
+func (e *Engine) ChangeFaults(change func(*Faults)) {
+	for {
+		old := e.faults.Load()
+		f := *old
+		change(&f)
+		if e.faults.CompareAndSwap(old, &f) {
+			return
+		}
+	}
+}
+
+func (f *Faults) cutFrom(name string) bool { return slices.Contains(f.Cut, name) }
+
+func (e *Engine) setFaults(w http.ResponseWriter, q *http.Request) {
+	var f Faults
+	dec := json.NewDecoder(q.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&f); err != nil {
+		fail(w, 400, "invalid_request", err.Error())
+		return
+	}
+	e.SetFaults(f)
+	fmt.Fprintln(w, "{}")
+}
+
+// faulty plays the faults that strike before a request is looked at.
+func (j *job) faulty() bool {
+	f := j.e.faults.Load()
+	j.r.mu.Lock()
+	unlucky := f.Errors > 0 && j.r.rng.Float64() < f.Errors
+	j.r.mu.Unlock()
+	switch {
+	case f.Silent || f.cutFrom(j.node):
+		<-j.ctx.Done()
+		j.note(record.End, "silent")
+	case f.Refuse:
+		j.turn(503, "engine_full", "no")
+	case f.Reject > 0:
+		j.turn(f.Reject, "rejected", "not to its liking")
+	case unlucky:
+		j.note(record.End, "error")
+		fail(j.w, 500, "internal", "failed")
+	case f.Garbage:
+		j.note(record.Run, "garbage")
+		j.raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 22\r\n\r\ndata: {\"not\": json!}\n\n")
+	case f.LyingChunk:
+		j.note(record.Run, "lying chunk")
+		j.raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nff\r\ndata: {\r\n")
+	case f.CutBody:
+		j.note(record.Run, "cut body")
+		j.raw("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 1000\r\n\r\n{\"id\":")
+	default:
+		return false
+	}
+	return true
+}
+
+// raw writes bytes past the HTTP server and closes.
+func (j *job) raw(text string) {
+	c, _, err := http.NewResponseController(j.w).Hijack()
+	if err != nil {
+		return
+	}
+	c.Write([]byte(text))
+	c.Close()
+}
+
+// eventWriter sends events one by one and plays the faults of streams.
+type eventWriter struct {
+	j    *job
+	f    *Faults
+	sent int
+}
+
+// event sends one; false = the stream is over.
+func (w *eventWriter) event(data string) bool {
+	f, j := w.f, w.j
+	switch {
+	case f.CutAfter != nil && w.sent >= *f.CutAfter:
+		w.hijack(true)
+		return false
+	case f.DieAfter != nil && w.sent >= *f.DieAfter:
+		go j.e.Kill()
+		<-j.r.ctx.Done()
+		return false
+	case f.HalfClose > 0 && w.sent >= f.HalfClose:
+		w.hijack(false)
+		return false
+	case f.StallAfter > 0 && w.sent == f.StallAfter:
+		if !sleep(j.ctx, seconds(f.StallS)) {
+			return false
+		}
+	}
+	if _, err := fmt.Fprintf(j.w, "data: %s\n\n", data); err != nil {
+		return false
+	}
+	w.sent++
+	return http.NewResponseController(j.w).Flush() == nil
+}
+
+// hijack ends the connection without the last chunk: at once, or its sending side alone.
+func (w *eventWriter) hijack(whole bool) {
+	http.NewResponseController(w.j.w).Flush()
+	c, _, err := http.NewResponseController(w.j.w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	if whole {
+		return
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		t.CloseWrite()
+		t.SetReadDeadline(time.Now().Add(5 * time.Second))
+		var b [1]byte
+		t.Read(b[:]) // until the node lets go
+	}
+}
+
+// Expected returns the answer that a request should get, and how many tokens it has.
+func Expected(ms []Message, mark Mark, max int) (string, int) {
+	d := Digest(ms)
+	n := Length(d, mark, max)
+	return Answer(d, n), n
+}
+
+// Words joins texts for prompts of about so many tokens.
+func Words(seed uint64, tokens int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < tokens*4-8; i++ {
+		b.WriteString(Token(seed, i))
+	}
+	return b.String()
+}
