--- /dev/null
+++ b/internal/cli/badday.go
@@ -0,0 +1,99 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"dillroute/internal/config"
+	"dillroute/internal/node"
+	"dillroute/lab/badday"
+
+	"github.com/spf13/cobra"
+)
+
+func baddayCommand() *cobra.Command {
+	var report, logTo string
+	var seed uint64
+	c := &cobra.Command{
+		Use:   "badday SCRIPT",
+		Short: "Play a scripted bad day through real nodes on loopback and judge the rules",
+		Long: `Play a script of load and troubles through real nodes, stand-in engines and scripted clients, all on loopback. The
+five rules are judged from what passed on the sockets. A broken rule ends with code 4.
+
+` + exitCodesDoc,
+		Example: "  dillroute badday examples/badday/sunday.json\n  dillroute badday examples/badday/sunday.json --seed 7 --report out.json\n" +
+			"  dillroute badday convert DAY.json > examples/badday/day.json",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return withCode(ExitConfig, err)
+			}
+			s, err := badday.Parse(text)
+			if err != nil {
+				return withCode(ExitConfig, fmt.Errorf("%s:\n%w", args[0], err))
+			}
+			if cmd.Flags().Changed("seed") {
+				s.Seed = seed
+			}
+			return playDay(s, report, logTo, cmd.OutOrStdout())
+		},
+	}
+	c.Flags().StringVar(&report, "report", "", "write the report as JSON to this file")
+	c.Flags().StringVar(&logTo, "log", "", "write the nodes' logs to this file")
+	c.Flags().Uint64Var(&seed, "seed", 0, "play with another seed than the script's")
+	c.AddCommand(convertCommand())
+	return c
+}
+
+// launcher starts nodes of this program within this process.
+func launcher(log io.Writer) badday.Launch {
+	return func(name string, text []byte) (badday.Node, error) {
+		cfg, err := config.Parse(text)
+		if err != nil {
+			return nil, err
+		}
+		l := slog.New(slog.NewJSONHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", name)
+		return node.Start(cfg, node.WithLogger(l))
+	}
+}
+
+func playDay(s *badday.Script, report, logTo string, out io.Writer) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	var log io.Writer = io.Discard
+	if logTo != "" {
+		f, err := os.Create(logTo)
+		if err != nil {
+			return withCode(ExitRun, err)
+		}
+		defer f.Close()
+		log = f
+	}
+	start := time.Now()
+	r, err := badday.Run(ctx, s, badday.Options{Launch: launcher(log), Out: out})
+	if err != nil {
+		return withCode(ExitRun, err)
+	}
+	fmt.Fprintf(out, "\nplayed in %.1f s\n", time.Since(start).Seconds())
+	r.Print(out)
+	if report != "" {
+		b, err := r.JSON()
+		if err == nil {
+			err = os.WriteFile(report, append(b, '\n'), 0o644)
+		}
+		if err != nil {
+			return withCode(ExitRun, err)
+		}
+	}
+	if n := len(r.Violations); n > 0 {
+		return withCode(ExitRules, fmt.Errorf("%d breaches of the rules", n))
+	}
+	return nil
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -72,6 +72,7 @@
 		nc, err := l.Accept()
 		if err != nil {
 			if s.draining.Load() || errors.Is(err, net.ErrClosed) {
+				l.Close()
 				return nil
 			}
 			var ne net.Error
@@ -118,21 +119,31 @@
 	return len(s.conns)
 }
 
-// Drain stops accepting, closes idle connections, and lets each other one end with its present answer.
+// Drain stops accepting, closes idle connections, and lets each other one end with its present answer. What has
+// connected or was being sent already is read: a connection that waits to be accepted, or a request on its way,
+// would else be met by a reset.
 func (s *Server) Drain() {
 	s.draining.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.listener != nil {
+	if l, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok {
+		l.SetDeadline(time.Now().Add(drainAccept))
+	} else if s.listener != nil {
 		s.listener.Close()
 	}
 	for c := range s.conns {
 		if c.idle.Load() {
-			c.nc.SetReadDeadline(time.Now())
+			c.nc.SetReadDeadline(time.Now().Add(drainIdle))
 		}
 	}
 }
 
+// How long a draining server goes on accepting, and reading idle connections.
+const (
+	drainAccept = 50 * time.Millisecond
+	drainIdle   = 200 * time.Millisecond
+)
+
 // Wait waits until all connections have ended, or the time has passed; it tells whether they have.
 func (s *Server) Wait(d time.Duration) bool {
 	done := make(chan struct{})
@@ -147,8 +158,11 @@
 
 // Close cuts all connections and waits for their goroutines.
 func (s *Server) Close() {
-	s.Drain()
+	s.draining.Store(true)
 	s.mu.Lock()
+	if s.listener != nil {
+		s.listener.Close()
+	}
 	for c := range s.conns {
 		c.nc.Close()
 	}
@@ -164,8 +178,8 @@
 	wait := s.Times.Head // before the first request a connection gets no idle time
 	for {
 		c.idle.Store(true)
-		if s.draining.Load() && c.br.Buffered() == 0 {
-			return
+		if s.draining.Load() {
+			wait = min(wait, drainIdle)
 		}
 		c.nc.SetReadDeadline(time.Now().Add(wait))
 		if _, err := c.br.Peek(1); err != nil {
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -8,6 +8,7 @@
 	"dillroute/brain"
 	"dillroute/internal/decide/ending"
 	"dillroute/internal/decide/ledger"
+	"dillroute/internal/decide/letgo"
 	"dillroute/internal/engine"
 	"dillroute/internal/front"
 	"dillroute/internal/http1"
@@ -28,7 +29,7 @@
 			c.grants[cmd.N] <- cmd.OK
 		}
 	case ledger.Release:
-		n.release(cmd)
+		n.release(now, cmd)
 	case ledger.Answer:
 		n.answer(cmd)
 	case ledger.Pass:
@@ -114,18 +115,40 @@
 }
 
 // release calls the engine that may hold a state.
-func (n *Node) release(cmd ledger.Release) {
+func (n *Node) release(now float64, cmd ledger.Release) {
 	address := n.addresses[cmd.Engine]
 	if c := n.calls[cmd.ID]; c != nil {
 		delete(c.states, cmd.N)
 	}
+	plan := letgo.Plan{By: now + n.view.Load().cfg.Rules.LetGoBy}
 	n.running.start(func() {
-		if err := n.engines.Release(address, stateID(cmd.ID, cmd.N)); err != nil {
-			n.log.Debug("state not released", "request", cmd.ID, "engine", cmd.Engine, "error", err.Error())
+		for {
+			err := n.engines.Release(address, stateID(cmd.ID, cmd.N))
+			o := letgo.Answered
+			if err != nil {
+				o = letgo.Lost
+				n.log.Debug("state not released", "request", cmd.ID, "engine", cmd.Engine, "error", err.Error())
+			}
+			at, again := plan.Next(n.core.clock.now(), o)
+			if !again || !n.pause(at) {
+				return
+			}
 		}
 	})
 }
 
+// pause waits until a time; false = the node has stopped.
+func (n *Node) pause(at float64) bool {
+	t := time.NewTimer(seconds(at - n.core.clock.now()))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-n.core.done:
+		return false
+	}
+}
+
 // answer gives the node's own final answer: a whole one, or the end of a stream that had begun.
 func (n *Node) answer(cmd ledger.Answer) {
 	c := n.calls[cmd.ID]
@@ -203,7 +226,15 @@
 		}
 		s.node.core.book.First(now, s.call.id, s.n)
 	})
-	if !ok || !<-s.grant {
+	if !ok {
+		return false
+	}
+	select {
+	case granted := <-s.grant:
+		if !granted {
+			return false
+		}
+	case <-s.node.core.done:
 		return false
 	}
 	s.node.metrics.first.Observe(time.Since(s.call.started).Seconds())
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -42,6 +42,7 @@
 	spare  []func(now float64)
 	wake   chan struct{}
 	closed bool
+	done   chan struct{} // closed when the owner has ended
 
 	stepped float64 // when the module was last asked
 	wakes   []brain.Event
@@ -77,6 +78,12 @@
 			f(now)
 			facts[i] = nil
 			c.commands(now)
+			if c.quit {
+				break // whatever comes after a kill is not dealt with: no send may follow it
+			}
+		}
+		if c.quit {
+			break
 		}
 		c.wheel.Advance(now, func(f func(float64)) { f(now) })
 		c.commands(now)
@@ -90,6 +97,7 @@
 	c.mu.Lock()
 	c.closed = true
 	c.mu.Unlock()
+	close(c.done)
 }
 
 func (c *core) drain() []func(float64) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,7 @@
 	loops   sync.WaitGroup
 	failed  chan error
 	hurry   atomic.Bool
+	stop    sync.Once
 
 	// Of the owner.
 	calls     map[string]*call
@@ -89,7 +90,7 @@
 	n.setView(cfg)
 	clk := newClock()
 	n.core = &core{clock: clk, tick: cfg.Tick, router: router, book: ledger.New(bookConfig(cfg), cfg.Brain().Kinds),
-		wheel: wheel.New[func(float64)](clk.now(), 0.001), wake: make(chan struct{}, 1),
+		wheel: wheel.New[func(float64)](clk.now(), 0.001), wake: make(chan struct{}, 1), done: make(chan struct{}),
 		carry: n.carry, side: n.side, decide: n.metrics.decided, broken: n.breakDown}
 	n.engines = &engine.Client{Node: cfg.Node.Name, Key: cfg.Engines.Key, Connect: seconds(cfg.Limits.Connect),
 		Stall: func() time.Duration { return seconds(n.view.Load().cfg.Limits.Stall) }, MaxEvent: cfg.Limits.MaxEvent,
@@ -237,12 +238,12 @@
 	n.server.Drain()
 	n.core.post(func(now float64) { n.core.book.Close() })
 	deadline := time.Now().Add(wait)
-	for time.Now().Before(deadline) && !n.hurry.Load() && n.live() > 0 {
+	for time.Now().Before(deadline) && !n.hurry.Load() && n.Live() > 0 {
 		time.Sleep(5 * time.Millisecond)
 	}
 	n.core.post(func(now float64) { n.core.book.EndAll(now) })
 	grace := time.Now().Add(2 * time.Second)
-	for time.Now().Before(grace) && n.held() > 0 {
+	for time.Now().Before(grace) && n.Held() > 0 {
 		time.Sleep(5 * time.Millisecond)
 	}
 	n.running.wait()
@@ -253,8 +254,14 @@
 // Hurry makes a Shutdown that waits give its last answers now.
 func (n *Node) Hurry() { n.hurry.Store(true) }
 
-func (n *Node) live() int { return n.ask(func() int { return n.core.book.Live() }) }
-func (n *Node) held() int { return n.ask(func() int { return n.core.book.Held() }) }
+// Live returns how many requests wait for the end of their answer.
+func (n *Node) Live() int { return n.ask(func() int { return n.core.book.Live() }) }
+
+// Held returns how many requests the node has not forgotten: those, and ended ones of which an attempt is out.
+func (n *Node) Held() int { return n.ask(func() int { return n.core.book.Held() }) }
+
+// Connections returns the number of open client connections.
+func (n *Node) Connections() int { return n.server.Conns() }
 
 // ask reads a figure from the owner; 0 once it has stopped.
 func (n *Node) ask(f func() int) int {
@@ -262,11 +269,19 @@
 	if !n.core.post(func(float64) { got <- f() }) {
 		return 0
 	}
-	return <-got
+	select {
+	case x := <-got:
+		return x
+	case <-n.core.done:
+		return 0
+	}
 }
 
-// Stop cuts everything and waits for all goroutines. What was held gets no answer: it is a kill.
-func (n *Node) Stop() {
+// Stop cuts everything and waits for all goroutines. What was held gets no answer and is not tried again: it is
+// a kill.
+func (n *Node) Stop() { n.stop.Do(n.end) }
+
+func (n *Node) end() {
 	n.server.Drain()
 	if n.watcher != nil {
 		n.watcher.Close()
@@ -278,16 +293,15 @@
 			}
 			c.x.Cut()
 		}
-		n.core.book.Close()
+		n.core.quit = true
 	})
+	<-n.core.done
 	n.server.Close()
 	if n.admin != nil {
 		n.admin.Close()
 	}
 	n.running.wait()
-	n.core.post(func(float64) { n.core.quit = true })
 	n.loops.Wait()
-	n.running.wait() // what the owner started meanwhile
 	n.engines.Pool.Close()
 }
 
--- /dev/null
+++ b/lab/badday/run.go
@@ -0,0 +1,472 @@
+package badday
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"dillroute/lab/client"
+	"dillroute/lab/fleet"
+	"dillroute/lab/record"
+	"dillroute/lab/rules"
+	"dillroute/lab/standin"
+)
+
+// Node is a running node, whatever started it.
+type Node interface {
+	Addr() net.Addr
+	Stop()                       // a kill: what it holds gets no answer
+	Shutdown(wait time.Duration) // in good order
+}
+
+// Launch starts a node from the text of its configuration.
+type Launch func(name string, config []byte) (Node, error)
+
+// Options of a run.
+type Options struct {
+	Launch Launch
+	Out    io.Writer // progress; nil = none
+	Skew   float64   // s that the checker allows for scheduling; 0 = 0.25
+}
+
+// day is a day under way.
+type day struct {
+	s      *Script
+	o      Options
+	dir    string
+	log    *record.Log
+	fleet  *fleet.Fleet
+	client *client.Client
+	start  time.Time
+	work   sync.WaitGroup // clients, troubles and list deliveries
+
+	mu      sync.Mutex
+	nodes   []*slot
+	serial  int     // of list snapshots
+	lateBy  float64 // added to the list's lateness
+	load    float64 // factor
+	heavy   map[string][2]float64
+	hot     float64
+	hotSeed uint64
+	giveUp  float64
+	rng     *rand.Rand
+	asks    int
+	ctx     context.Context
+}
+
+// slot is the place of a node, which may be down.
+type slot struct {
+	name, zone string
+	rank       int
+	node       Node
+	address    string
+	downAt     time.Time
+	told       int // serial of the newest list it was given
+	pub        sync.Mutex
+}
+
+const key = "bad-day-key"
+
+// Run plays a script and reports. The context ends it early.
+func Run(ctx context.Context, s *Script, o Options) (*Report, error) {
+	dir, err := os.MkdirTemp("", "dillroute-badday-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	if o.Skew == 0 {
+		o.Skew = 0.25
+	}
+	if o.Out == nil {
+		o.Out = io.Discard
+	}
+	d := &day{s: s, o: o, dir: dir, log: &record.Log{}, load: 1, heavy: map[string][2]float64{},
+		rng: rand.New(rand.NewPCG(s.Seed, 1))}
+	d.client = client.New(key, d.log)
+	defer d.client.Close()
+	d.fleet = fleet.New(d.members(), d.log)
+	if err := d.fleet.Start(); err != nil {
+		return nil, err
+	}
+	defer d.fleet.Stop()
+	if err := d.startNodes(); err != nil {
+		d.stopNodes()
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, seconds(s.Length+60))
+	defer cancel()
+	d.ctx = ctx
+	d.start = time.Now()
+	for _, t := range s.Troubles {
+		d.work.Add(1)
+		go func() { defer d.work.Done(); d.play(t) }()
+	}
+	d.arrivals()
+	d.work.Wait()
+	d.settle()
+	d.stopNodes()
+	rs := d.log.All()
+	return d.report(rs, rules.Check(rs, d.ruleConfig())), nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// sleep waits until a time of the day; false = the day was ended.
+func (d *day) sleep(until float64) bool {
+	t := time.NewTimer(time.Until(d.start.Add(seconds(until))))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-d.ctx.Done():
+		return false
+	}
+}
+
+// settle gives states that wait at engines the time that rule 5 allows before the books are closed.
+func (d *day) settle() { time.Sleep(seconds(d.s.Rules.LetGoBy + 0.2)) }
+
+func (d *day) members() []fleet.Member {
+	var ms []fleet.Member
+	d.s.each(func(id string, k Kind, g Group) {
+		ms = append(ms, fleet.Member{Kind: k.Name, Cell: g.Cell, Zone: g.Zone, Settings: standin.Settings{ID: id, Role: k.Role,
+			Slots: k.Slots, Queue: k.Queue, MemoryTokens: k.MemoryTokens, ReadPerS: k.ReadPerS * g.Speed,
+			StepMS: k.StepMS / g.Speed, PerSeqMS: k.PerSeqMS / g.Speed, MovePerS: k.MovePerS, ColdShare: k.ColdShare,
+			ColdS: k.ColdS, ReportMS: k.ReportMS, LocalRead: d.s.Limits.LocalRead, StateTTL: 30,
+			Seed: d.s.Seed*1000 + uint64(len(ms))}})
+	})
+	return ms
+}
+
+func (d *day) ruleConfig() rules.Config {
+	c := rules.Config{Classes: map[string]rules.Class{}, Engines: map[string]rules.Engine{},
+		AnswerSlack: d.s.Rules.AnswerSlack, DrainGrace: d.s.Rules.DrainGrace, ListLag: 0.2,
+		FallMultiple: d.s.Rules.FallMultiple, TipAfter: d.s.Rules.TipAfter, LetGoBy: d.s.Rules.LetGoBy, Skew: d.o.Skew}
+	for _, k := range d.s.Classes {
+		c.Classes[k.Name] = rules.Class{Effect: k.Effect, Group: k.Group, KeyTTL: k.KeyWindow}
+	}
+	d.s.each(func(id string, k Kind, g Group) {
+		slots := float64(k.Slots)
+		c.Engines[id] = rules.Engine{Cell: g.Cell, Zone: g.Zone, ReadPerS: k.ReadPerS * g.Speed,
+			WriteS:    slots / ((k.StepMS + k.PerSeqMS*slots) / 1000 / g.Speed),
+			ColdShare: k.ColdShare, ColdS: k.ColdS}
+	})
+	return c
+}
+
+// nodeConfig writes a node's configuration, by its published shape.
+func (d *day) nodeConfig(s *slot, listen string) []byte {
+	var kinds, classes, models []any
+	for _, k := range d.s.Kinds {
+		kinds = append(kinds, map[string]any{"name": k.Name, "role": k.Role, "memory_tokens": k.MemoryTokens})
+	}
+	for _, c := range d.s.Classes {
+		classes = append(classes, map[string]any{"name": c.Name, "effect": c.Effect, "group": c.Group,
+			"key_window_s": c.KeyWindow, "aim_s": c.Aim, "aim_per_1k_prompt_s": c.AimPerK, "patience_s": c.Patience,
+			"patience_per_1k_prompt_s": c.PatiencePerK, "token_aim_s": c.TokenAim, "max_tokens": c.MaxTokens})
+		models = append(models, map[string]any{"name": c.Name, "class": c.Name})
+	}
+	r := d.s.Rules
+	m := map[string]any{"listen": listen, "node": map[string]any{"name": s.name, "rank": s.rank, "nodes": d.s.Nodes, "zone": s.zone},
+		"kinds": kinds, "classes": classes, "models": models, "local_read": d.s.Limits.LocalRead,
+		"tenants": []any{map[string]any{"name": "day", "keys": []string{key}}},
+		"engines": map[string]any{"file": d.listFile(s)},
+		"limits":  map[string]any{"max_attempts": d.s.Limits.MaxAttempts, "stall_s": 5, "shutdown_s": 2},
+		"rules": map[string]any{"answer_slack_s": r.AnswerSlack, "drain_grace_s": r.DrainGrace, "cold_share": r.ColdShare,
+			"cold_s": r.ColdS, "fall_multiple": r.FallMultiple, "tip_after_s": r.TipAfter, "let_go_by_s": r.LetGoBy}}
+	if len(d.s.Zones) > 0 {
+		m["zones"] = d.s.Zones
+	} else {
+		delete(m["node"].(map[string]any), "zone")
+	}
+	b, _ := json.Marshal(m) // strings and numbers encode
+	return b
+}
+
+func (d *day) listFile(s *slot) string { return filepath.Join(d.dir, s.name+".json") }
+
+func (d *day) startNodes() error {
+	for i := range d.s.Nodes {
+		s := &slot{name: fmt.Sprintf("node-%d", i), rank: i}
+		if len(d.s.Zones) > 0 {
+			s.zone = d.s.Zones[i%len(d.s.Zones)]
+		}
+		d.nodes = append(d.nodes, s)
+		if err := d.fleet.Publish(d.fleet.List(), s.name, d.listFile(s)); err != nil {
+			return err
+		}
+		if err := d.launch(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// launch starts a node at the address that it had, with nothing but its last list.
+func (d *day) launch(s *slot) error {
+	listen := s.address
+	if listen == "" {
+		listen = "127.0.0.1:0"
+	}
+	var n Node
+	var err error
+	for range 100 { // the old socket may still be closing
+		if n, err = d.o.Launch(s.name, d.nodeConfig(s, listen)); err == nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	s.node, s.address = n, n.Addr().String()
+	d.mu.Unlock()
+	d.log.Add(record.Record{Kind: record.NodeUp, Node: s.name})
+	return nil
+}
+
+// kill ends a node at once.
+func (d *day) kill(s *slot) {
+	d.mu.Lock()
+	n := s.node
+	s.node, s.downAt = nil, time.Now()
+	d.mu.Unlock()
+	if n == nil {
+		return
+	}
+	d.log.Add(record.Record{Kind: record.NodeKill, Node: s.name})
+	n.Stop()
+	d.log.Add(record.Record{Kind: record.NodeKill, Node: s.name})
+}
+
+func (d *day) stopNodes() {
+	var wg sync.WaitGroup
+	for _, s := range d.nodes {
+		if s.node != nil {
+			wg.Add(1)
+			go func() { defer wg.Done(); s.node.Shutdown(2 * time.Second) }()
+		}
+	}
+	wg.Wait()
+}
+
+// changed tells every node of the list as it stands now, as late as the list is.
+func (d *day) changed() {
+	snap := d.fleet.List()
+	d.mu.Lock()
+	d.serial++
+	serial, late := d.serial, d.s.List.Notice+d.lateBy
+	d.mu.Unlock()
+	for _, s := range d.nodes {
+		d.mu.Lock()
+		wait := late * (0.75 + 0.5*d.rng.Float64())
+		d.mu.Unlock()
+		d.work.Add(1)
+		go func() {
+			defer d.work.Done()
+			select {
+			case <-time.After(seconds(wait)):
+			case <-d.ctx.Done():
+				return
+			}
+			s.pub.Lock()
+			defer s.pub.Unlock()
+			if s.told < serial {
+				s.told = serial
+				if err := d.fleet.Publish(snap, s.name, d.listFile(s)); err != nil {
+					fmt.Fprintln(d.o.Out, "list not given to", s.name, err)
+				}
+			}
+		}()
+	}
+}
+
+// front picks a node as a plain front layer does: at random, dead ones too until it has noticed.
+func (d *day) front(rng *rand.Rand) *slot {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var fit []*slot
+	for _, s := range d.nodes {
+		if s.node != nil || time.Since(s.downAt) < seconds(d.s.Clients.Notice) {
+			fit = append(fit, s)
+		}
+	}
+	if len(fit) == 0 {
+		fit = d.nodes
+	}
+	return fit[rng.IntN(len(fit))]
+}
+
+// shape is the load's factor at a share of the day.
+func (l *Load) shape(x float64) float64 {
+	if len(l.Shape) == 0 {
+		return 1
+	}
+	last := l.Shape[0]
+	for _, p := range l.Shape {
+		if p[0] >= x {
+			if p[0] == last[0] {
+				return p[1]
+			}
+			return last[1] + (p[1]-last[1])*(x-last[0])/(p[0]-last[0])
+		}
+		last = p
+	}
+	return last[1]
+}
+
+// arrivals starts sessions by a Poisson process whose rate follows the day.
+func (d *day) arrivals() {
+	rng := rand.New(rand.NewPCG(d.s.Seed, 2))
+	t, n := 0.0, 0
+	for {
+		d.mu.Lock()
+		rate := d.s.Load.PerS * d.load * d.s.Load.shape(t/d.s.Length)
+		full := d.asks >= d.s.Load.MaxAsks
+		d.mu.Unlock()
+		if full || !(rate > 0) {
+			rate = 0
+		}
+		step := 0.1
+		if rate > 0 {
+			step = min(0.5, rng.ExpFloat64()/rate)
+		}
+		t += step
+		if t >= d.s.Length || !d.sleep(t) {
+			return
+		}
+		if rate == 0 || step == 0.5 {
+			continue
+		}
+		n++
+		seed := uint64(n)
+		d.work.Add(1)
+		go func() { defer d.work.Done(); d.session(seed) }()
+	}
+}
+
+// class draws a class by the shares.
+func (d *day) class(rng *rand.Rand) *Class {
+	sum := 0.0
+	for _, c := range d.s.Classes {
+		sum += c.Share
+	}
+	x := rng.Float64() * sum
+	for i := range d.s.Classes {
+		if x -= d.s.Classes[i].Share; x < 0 {
+			return &d.s.Classes[i]
+		}
+	}
+	return &d.s.Classes[len(d.s.Classes)-1]
+}
+
+func lognormal(rng *rand.Rand, mean, sigma float64) float64 {
+	return mean * math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2)
+}
+
+// session asks its turns one after another; each holds all that went before.
+func (d *day) session(seed uint64) {
+	rng := rand.New(rand.NewPCG(d.s.Seed^0xabcdef, seed))
+	c := d.class(rng)
+	ms := []standin.Message{{Role: "system", Content: d.beginning(rng, c, seed)}}
+	for turn := 0; ; turn++ {
+		d.mu.Lock()
+		heavy, ok := d.heavy[c.Name]
+		d.asks++
+		d.mu.Unlock()
+		size := lognormal(rng, c.NewTokens, c.NewSigma)
+		if ok && rng.Float64() < heavy[1] {
+			size *= heavy[0]
+		}
+		size = min(size, 20000)
+		ms = append(ms, standin.Message{Role: "user", Content: standin.Words(seed*31+uint64(turn), int(size)+4)})
+		answer := int(max(2, min(float64(c.MaxTokens), lognormal(rng, c.AnswerTokens, c.AnswerSigma))))
+		op := fmt.Sprintf("s%d.%d", seed, turn)
+		text, served := d.operation(rng, c, op, fmt.Sprintf("session-%d", seed), ms, answer)
+		if !served || rng.Float64() >= 1-1/max(1, c.Turns) {
+			return
+		}
+		ms = append(ms[:len(ms):len(ms)], standin.Message{Role: "assistant", Content: text})
+		select {
+		case <-time.After(seconds(c.Think * rng.ExpFloat64())):
+		case <-d.ctx.Done():
+			return
+		}
+		if time.Since(d.start) > seconds(d.s.Length) {
+			return
+		}
+	}
+}
+
+// beginning is the system text: a shared one, one of the newly hot ones, or the session's own.
+func (d *day) beginning(rng *rand.Rand, c *Class, seed uint64) string {
+	d.mu.Lock()
+	hot, hotSeed := d.hot, d.hotSeed
+	d.mu.Unlock()
+	if hot > 0 && rng.Float64() < hot {
+		return standin.Words(hotSeed, max(1500, c.PrefixTokens))
+	}
+	if c.Prefixes > 0 && rng.Float64() < c.PrefixShare {
+		x := rng.Float64() // a few beginnings are common
+		return standin.Words(uint64(1000+int(x*x*float64(c.Prefixes))), c.PrefixTokens)
+	}
+	return standin.Words(seed*7919, 16)
+}
+
+// operation asks once and comes again as clients do. It returns the text of a served answer.
+func (d *day) operation(rng *rand.Rand, c *Class, op, session string, ms []standin.Message, answer int) (string, bool) {
+	prompt := 0
+	for _, m := range ms {
+		prompt += len(m.Content)/4 + 4
+	}
+	patience := (c.Patience + c.PatiencePerK*float64(prompt)/1000) * d.s.Clients.TryShare
+	d.mu.Lock()
+	if d.giveUp > 0 && rng.Float64() < d.giveUp {
+		patience *= 0.3
+	}
+	d.mu.Unlock()
+	a := client.Ask{Model: c.Name, Messages: ms, MaxTokens: c.MaxTokens, Session: session, Patience: seconds(patience),
+		Whole: rng.Float64() < c.Whole, Mark: standin.Mark{Op: op, Class: c.Name, Answer: answer}}
+	if rng.Float64() < d.s.Clients.Hangups {
+		a.HangupAt = 1 + rng.IntN(max(1, answer))
+		a.Whole = false
+	}
+	for try := 0; ; try++ {
+		a.Mark.Try = try
+		s := d.front(rng)
+		d.mu.Lock()
+		address := s.address
+		d.mu.Unlock()
+		res := d.client.Do(d.ctx, s.name, address, a)
+		if res.Outcome == record.Served {
+			return res.Text, res.OK
+		}
+		if try >= d.s.Clients.Retries || !again(c, res) || a.HangupAt > 0 {
+			return "", false
+		}
+		select {
+		case <-time.After(max(res.After, seconds(d.s.Clients.Backoff*(0.5+rng.Float64())))):
+		case <-d.ctx.Done():
+			return "", false
+		}
+	}
+}
+
+// again tells whether a client may come again: always after a refusal or where no node was met; else only where
+// a repeat does no harm.
+func again(c *Class, res client.Result) bool {
+	if errors.Is(res.Err, context.Canceled) && res.Outcome != record.Overdue {
+		return false
+	}
+	return res.Outcome == record.Refused || res.Outcome == record.Unmet || c.Effect == "repeatable"
+}
--- a/lab/client/client.go
+++ b/lab/client/client.go
@@ -130,6 +130,7 @@
 	}
 	note(record.Answer, func(r *record.Record) {
 		r.Outcome, r.OK, r.State = res.Outcome, res.OK, strconv.FormatBool(res.Retry)
+		r.Tokens = float64(res.Events)
 		r.Note = fmt.Sprintf("%d %s", res.Status, res.Code)
 		if res.Err != nil {
 			r.Note += " " + res.Err.Error()
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -100,6 +100,8 @@
 	order   []uint64
 	keptSum int
 	states  map[string]*state
+	let     [256]string // ids released last: a read of one that ends later keeps nothing
+	letAt   int
 	load    loadReport
 	loadAt  time.Time
 	rng     *rand.Rand
@@ -347,7 +349,12 @@
 		fail(w, 400, "invalid_request", "request_id is missing")
 		return
 	}
-	e.drop(r, body.ID, "released")
+	if _, was := e.drop(r, body.ID, "released"); !was {
+		r.mu.Lock()
+		r.let[r.letAt%len(r.let)] = body.ID
+		r.letAt++
+		r.mu.Unlock()
+	}
 	io.WriteString(w, "{}")
 }
 
--- a/lab/standin/job.go
+++ b/lab/standin/job.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -140,10 +141,18 @@
 	r := j.r
 	r.mu.Lock()
 	s := &state{digest: j.digest, tokens: j.tokens, created: time.Now(), mark: j.q.Mark}
+	if slices.Contains(r.let[:], j.id) { // let go of while it was being read
+		r.mu.Unlock()
+		j.turn(410, "kv_released", "the request was released")
+		return
+	}
 	r.states[j.id] = s
 	r.memory += s.tokens
 	r.mu.Unlock()
 	j.note(record.Parsed, "")
+	if j.e.faults.Load().DropAfter {
+		j.e.drop(r, j.id, "lost")
+	}
 	r.work.Add(1)
 	go func() {
 		defer r.work.Done()
