--- a/brain/brain.go
+++ b/brain/brain.go
@@ -219,7 +219,7 @@
 			if was == writing && q.hasHold {
 				q.stage = parsed
 			}
-		case was == writing && q.hasHold: // its reader lost the state, the writer is not full: it is read anew
+		case was == writing && q.hasHold: // its reader lost it, the writer is not full: read anew
 			r.judge(q.reader, 1)
 		}
 	case NotSent:
--- a/internal/decide/ending/ending.go
+++ b/internal/decide/ending/ending.go
@@ -89,7 +89,7 @@
 		v.Holds = f.Progress >= Written && v.Status != brain.Parsed && v.Status != brain.TurnedAway && !v.Final
 		return v
 	}
-	v.Ran = v.Ran || !provesNot(v.Status)
+	v.Ran = v.Ran || !v.Final && !provesNot(v.Status)
 	return v
 }
 
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -91,6 +91,7 @@
 
 // attempt is one attempt of a request.
 type attempt struct {
+	n         int // its number among the module's
 	engine    string
 	stage     ending.Stage
 	sentAt    float64
@@ -98,17 +99,19 @@
 	aborting  bool
 	streaming bool
 	withState bool
+	stateN    int // the attempt that read the state which this one fetches
 }
 
 // entry is one request, until it has ended and no attempt is out and no state is held.
 type entry struct {
 	class     *brain.Class
 	deadline  float64
-	attempts  []attempt
-	out       int    // attempts that have not ended
-	state     string // engine at which a read state waits; "" = none
-	stateN    int    // the attempt that read it
-	ran       bool   // an attempt that has ended may have run
+	attempts  []attempt // those that were begun
+	sent      int       // attempts that the module has asked for
+	out       int       // attempts that have not ended
+	state     string    // engine at which a read state waits; "" = none
+	stateN    int       // the attempt that read it
+	ran       bool      // an attempt that has ended may have run
 	ranOn     string
 	ranAt     float64
 	answering bool    // the answer belongs to an attempt
@@ -117,6 +120,19 @@
 	farewell  *Answer // given once the attempt that streams has stopped writing
 }
 
+// attempt returns an attempt by its number; nil = it was never begun.
+func (e *entry) attempt(n int) *attempt {
+	for i := range e.attempts {
+		if e.attempts[i].n == n {
+			return &e.attempts[i]
+		}
+	}
+	return nil
+}
+
+// took tells whether the attempt was given the state that the entry holds.
+func (t *attempt) took(e *entry) bool { return t.withState && t.stateN == e.stateN }
+
 // seen is what the book knows of an engine.
 type seen struct {
 	listed bool
@@ -278,16 +294,14 @@
 		l.fault("send for %s, which is not open", a.ID)
 		return
 	}
-	n, s := len(e.attempts), l.engines[a.Engine]
-	t := attempt{engine: a.Engine, sentAt: now, stage: ending.Decode}
+	n, s := e.sent, l.engines[a.Engine]
+	e.sent++
+	t := attempt{n: n, engine: a.Engine, sentAt: now, stage: ending.Decode}
 	if s != nil && s.role == brain.Read {
 		t.stage = ending.Prefill
 	}
-	t.withState = t.stage == ending.Decode && e.state != ""
+	t.withState, t.stateN = t.stage == ending.Decode && e.state != "", e.stateN
 	why := l.objection(now, e, s, &t)
-	t.over = why != ""
-	e.attempts = append(e.attempts, t)
-	l.counts.Attempts++
 	if why != "" {
 		if why != overtaken {
 			l.fault("send of %s to %s: %s", a.ID, a.Engine, why)
@@ -295,6 +309,8 @@
 		l.emit(brain.Outcome{ID: a.ID, Attempt: n, Engine: a.Engine, Status: brain.NotSent, Closed: e.concluded})
 		return
 	}
+	e.attempts = append(e.attempts, t)
+	l.counts.Attempts++
 	e.out++
 	l.do(Start{ID: a.ID, Engine: a.Engine, N: n, Stage: t.stage, State: t.withState, StateN: e.stateN,
 		Timeout: a.Timeout})
@@ -353,10 +369,10 @@
 // cancel ends an attempt that has not begun to stream.
 func (l *Ledger) cancel(a brain.Cancel) {
 	e := l.open[a.ID]
-	if e == nil || a.Attempt < 0 || a.Attempt >= len(e.attempts) {
+	if e == nil {
 		return // it had ended
 	}
-	if t := &e.attempts[a.Attempt]; !t.over && !t.streaming && !t.aborting {
+	if t := e.attempt(a.Attempt); t != nil && !t.over && !t.streaming && !t.aborting {
 		t.aborting = true
 		l.do(Abort{a.ID, a.Attempt, ending.Stopped})
 	}
@@ -432,7 +448,7 @@
 	for i := range e.attempts {
 		if t := &e.attempts[i]; !t.over && !t.aborting {
 			t.aborting = true
-			l.do(Abort{id, i, cause})
+			l.do(Abort{id, t.n, cause})
 		}
 	}
 	l.settle(id, e)
@@ -455,23 +471,26 @@
 // First is told when the first token of an attempt has come; the attempt waits for its Grant.
 func (l *Ledger) First(now float64, id string, n int) {
 	e := l.open[id]
-	if e == nil || n < 0 || n >= len(e.attempts) {
+	if e == nil || e.attempt(n) == nil {
 		l.fault("first token for %s, attempt %d, which is not open", id, n)
 		return
 	}
-	t := &e.attempts[n]
+	t := e.attempt(n)
 	if e.concluded || e.answering || t.over || t.aborting {
 		l.do(Grant{id, n, false})
 		return
 	}
 	e.answering, t.streaming = true, true
-	e.state = "" // the fetch has ended: the reader let its memory go
+	if e.state != "" && !t.took(e) { // it read the prompt itself
+		l.do(Release{id, e.state, e.stateN})
+	}
+	e.state = "" // else the fetch has ended: the reader let its memory go
 	l.do(Grant{id, n, true})
 	l.emit(brain.First{ID: id, Attempt: n, Engine: t.engine, Spent: now - t.sentAt})
 	for i := range e.attempts { // a second copy has lost
-		if o := &e.attempts[i]; i != n && !o.over && !o.aborting {
+		if o := &e.attempts[i]; o != t && !o.over && !o.aborting {
 			o.aborting = true
-			l.do(Abort{id, i, ending.Stopped})
+			l.do(Abort{id, o.n, ending.Stopped})
 		}
 	}
 }
@@ -479,11 +498,11 @@
 // Ended is told, once, when an attempt has ended. The report may be nil.
 func (l *Ledger) Ended(now float64, id string, n int, f ending.Facts, rep *brain.Report) {
 	e := l.open[id]
-	if e == nil || n < 0 || n >= len(e.attempts) || e.attempts[n].over {
+	if e == nil || e.attempt(n) == nil || e.attempt(n).over {
 		l.fault("end of attempt %d of %s, which is not out", n, id)
 		return
 	}
-	t := &e.attempts[n]
+	t := e.attempt(n)
 	t.over = true
 	e.out--
 	f.Stage, f.Agreed = t.stage, e.rejected != 0 && e.rejected == f.HTTP
@@ -503,7 +522,9 @@
 	l.emit(brain.Outcome{ID: id, Attempt: n, Engine: t.engine, Status: v.Status, Info: v.Info,
 		Spent: now - t.sentAt, Closed: closed || e.concluded, Report: rep})
 	if t.streaming && e.farewell != nil {
-		l.do(*e.farewell)
+		if v.Status != brain.Served { // else the answer was whole before it could be stopped
+			l.do(*e.farewell)
+		}
 		e.farewell = nil
 	}
 	if closed {
@@ -514,16 +535,16 @@
 
 // states keeps the book of the state that waits at a reader.
 func (l *Ledger) states(id string, e *entry, n int, v ending.Verdict) {
-	t := &e.attempts[n]
+	t := e.attempt(n)
 	switch {
 	case v.Status == brain.Parsed:
-		if e.state != "" && e.state != t.engine {
+		if e.state != "" { // read twice: one of the two will not be taken
 			l.do(Release{id, e.state, e.stateN})
 		}
 		e.state, e.stateN = t.engine, n
 	case v.Holds:
 		l.do(Release{id, t.engine, n})
-	case v.Status == brain.TurnedAway && v.Info == 1, v.Status == brain.Served && !v.Final && t.stage == ending.Decode:
+	case t.took(e) && (v.Status == brain.TurnedAway && v.Info == 1 || v.Status == brain.Served && !v.Final):
 		e.state = ""
 	}
 }
@@ -531,7 +552,7 @@
 // closes settles what the end of an attempt means for the client, and counts it. An answer that began and broke
 // ends the request: the client has part of it, and the module is told so.
 func (l *Ledger) closes(id string, e *entry, n int, v ending.Verdict) bool {
-	t := &e.attempts[n]
+	t := e.attempt(n)
 	switch {
 	case e.concluded:
 		return false
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -86,7 +86,7 @@
 		"classes": []any{
 			map[string]any{"name": "chat", "effect": "repeatable", "aim_s": 1, "patience_s": 4, "token_aim_s": 0.06},
 			map[string]any{"name": "commit", "effect": "once", "aim_s": 2, "patience_s": 4, "token_aim_s": 0.08}},
-		"models": []any{map[string]any{"name": "chat", "class": "chat"}, map[string]any{"name": "commit", "class": "commit"}},
+		"models":  []any{map[string]any{"name": "chat", "class": "chat"}, map[string]any{"name": "commit", "class": "commit"}},
 		"tenants": []any{map[string]any{"name": "t", "keys": []string{testKey}}},
 		"engines": map[string]any{"file": r.list, "poll_s": 0.05}, "limits": map[string]any{}}
 	if set != nil {
--- a/internal/node/whole_test.go
+++ b/internal/node/whole_test.go
@@ -300,7 +300,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	params := openai.ChatCompletionNewParams{Model: "chat", MaxCompletionTokens: openai.Int(7),
-		Messages: []openai.ChatCompletionMessageParamUnion{openai.SystemMessage("You help with rosters."), openai.UserMessage("Who?")},
+		Messages:      []openai.ChatCompletionMessageParamUnion{openai.SystemMessage("You help with rosters."), openai.UserMessage("Who?")},
 		StreamOptions: openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)}}
 	want := standin.Answer(standin.Digest([]standin.Message{{Role: "system", Content: "You help with rosters."}, {Role: "user", Content: "Who?"}}), 7)
 	stream := c.Chat.Completions.NewStreaming(ctx, params)
--- /dev/null
+++ b/lab/badday/badday_test.go
@@ -0,0 +1,107 @@
+package badday_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"dillroute/internal/config"
+	"dillroute/internal/node"
+	"dillroute/lab/badday"
+)
+
+func launch(name string, text []byte) (badday.Node, error) {
+	cfg, err := config.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	return node.Start(cfg, node.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))))
+}
+
+func TestShortBadDayKeepsTheRules(t *testing.T) {
+	text, err := os.ReadFile("../../examples/badday/short.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := badday.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	r, err := badday.Run(ctx, s, badday.Options{Launch: launch, Skew: 0.5})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range r.Violations {
+		t.Error(v)
+	}
+	served := 0
+	for _, row := range r.Rows {
+		if row.Trouble == "all" {
+			served += row.InTime + row.Late
+		}
+	}
+	if served < 50 {
+		t.Errorf("only %d served: %+v", served, r.Rows)
+	}
+}
+
+func TestScriptsAreChecked(t *testing.T) {
+	files, _ := filepath.Glob("../../examples/badday/*.json")
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := badday.Parse(text); err != nil {
+			t.Errorf("%s: %v", f, err)
+		}
+	}
+	text, _ := os.ReadFile("../../examples/badday/short.json")
+	for old, c := range map[string][2]string{
+		`"kind": "crash"`: {`"kind": "crush"`, `/troubles/0/kind: "crush" is not known`},
+		`"name": "short"`: {`"nam": "short"`, `did you mean "name"?`},
+		`["decode-a-1"]`:  {`["decode-z"]`, `no engine is named "decode-z"`},
+	} {
+		_, err := badday.Parse([]byte(strings.Replace(string(text), old, c[0], 1)))
+		if err == nil || !strings.Contains(err.Error(), c[1]) {
+			t.Errorf("%s: %v, want %s", c[0], err, c[1])
+		}
+	}
+}
+
+// A day as the bench writes it, made up here: times in microseconds, engines by their place.
+const benchDay = `{"site":"made-up","family":"twostage","length":10000000,"noise":5,"zones":["z"],"front_notice":1000000,
+"drain_grace":250000,"fall_multiple":4,"fall_for":1500000,"traffic":{"shape":[[0,1],[10000000,2]]},
+"clients":{"retries":1,"try_share":0.8,"backoff_us":200000},"discovery":{"notice":500000},"allow":{"max_attempts":4},
+"classes":[{"name":"c","share":1,"aim":1000000,"deadline":5000000,"effect":"unsafe","group":"all","window":1}],
+"tiers":[{"kinds":[{"name":"r","cold_from":0.4,"cold":5000000},{"name":"w","cold_from":0.4,"cold":5000000}],"report_period":200000,
+"stated_cold_from":0.25,"stated_cold":6000000}],
+"servers":[{"zone":0,"kind":0,"cell":0,"speed":1.1},{"zone":0,"kind":1,"cell":0,"speed":1},{"zone":0,"kind":1,"cell":0,"speed":0.9}],
+"balancers":[{"zone":0},{"zone":0}],"troubles":[{"kind":"crash","at":2000000,"len":3000000,"on":[2],"which":0}],
+"fam":{"engines":[{"memory":200000,"queue":30,"slots":6,"per_seq_ms":0.1,"read_per_s":12000,"step_ms":15},
+{"memory":100000,"queue":20,"slots":60,"per_seq_ms":0.2,"read_per_s":6000,"step_ms":12}],"near":200000,"release":1000000,
+"roles":["read","write"],"writers_read":true,"talks":[{"aim_ms_per_k":40,"new_tokens":300,"new_sigma":0.6,"out_tokens":80,
+"out_sigma":0.5,"max_out":400,"prefixes":9,"prefix_share":0.9,"prefix_tokens":1500,"turns":2,"think_s":4,"token_ms":60}]}}`
+
+func TestBenchDayIsConverted(t *testing.T) {
+	s, err := badday.Convert([]byte(benchDay), 20, 5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(s.Engines) != 3 || s.Kinds[0].Role != "prefill" || s.Classes[0].Effect != "once" || s.Nodes != 2 || s.Length != 5 {
+		t.Fatalf("%+v", s)
+	}
+	if tr := s.Troubles[0]; tr.At != 1 || tr.Len != 1.5 || tr.Engines[0] != "w-c0-2" {
+		t.Fatalf("%+v", tr)
+	}
+	if _, err := badday.Convert([]byte(`{"family":"proxy"}`), 1, 1); err == nil {
+		t.Fatal("another family")
+	}
+}
--- a/lab/badday/run.go
+++ b/lab/badday/run.go
@@ -133,7 +133,10 @@
 }
 
 // settle gives states that wait at engines the time that rule 5 allows before the books are closed.
-func (d *day) settle() { time.Sleep(seconds(d.s.Rules.LetGoBy + 0.2)) }
+func (d *day) settle() {
+	time.Sleep(seconds(d.s.Rules.LetGoBy + d.o.Skew + 0.2))
+	d.log.Add(record.Record{Kind: record.Close})
+}
 
 func (d *day) members() []fleet.Member {
 	var ms []fleet.Member
--- a/lab/record/record.go
+++ b/lab/record/record.go
@@ -38,6 +38,8 @@
 	Told     Kind = "told" // a node was given a list that says State of Engine
 	NodeUp   Kind = "node_up"
 	NodeKill Kind = "node_kill"
+	// Close ends the record: until then things were watched.
+	Close Kind = "close"
 )
 
 // Outcome says how an answer ended for the client.
--- a/lab/wrong/wrong.go
+++ b/lab/wrong/wrong.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -132,7 +131,7 @@
 	case Drop:
 		panic(http.ErrAbortHandler)
 	}
-	id := url.QueryEscape(q.RemoteAddr + time.Now().Format("150405.000000000"))
+	id := strings.ReplaceAll(q.RemoteAddr, ":", "-") + time.Now().Format("-150405.000000000")
 	reader := n.pick("prefill")
 	if reader == nil {
 		refuse(w, 503, true)
