--- a/brain/brain.go
+++ b/brain/brain.go
@@ -366,7 +366,7 @@
 func (r *Router) learnStream(q *request, e *engine) {
 	r.judge(e, 0)
 	tokens := r.answerTokens(q)
-	if q.flowAt == 0 || tokens <= 1 {
+	if q.flowAt == 0 || tokens <= 1 || r.now <= q.flowAt { // within one step: no time to learn from
 		return
 	}
 	l, pace := max(1, (q.flowL+r.streams(e))/2), (r.now-q.flowAt)/tokens
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -578,6 +578,30 @@
 	}
 }
 
+// Answers of a token or two begin and end within one step. Their time of zero made the guess of lengths no number,
+// and then no writer with a stream passed the test any more (seen on sockets).
+func TestStreamsWithoutDurationTeachNothing(t *testing.T) {
+	r := start(t, testConfig(), fleet())
+	now := 1.0
+	for i := range 2 * lengths {
+		q := ask(fmt.Sprint("q", i), 0)
+		_, w := read(t, r, now, q)
+		r.Step(now+0.2, []Event{First{ID: q.ID, Attempt: 1, Engine: w, Spent: 0.01},
+			Outcome{ID: q.ID, Attempt: 1, Engine: w, Status: Served, Closed: true}})
+		now += 0.5
+	}
+	q := &request{Request: ask("x", 0), class: &r.cfg.Classes[0]}
+	if n := r.answerTokens(q); !(n > 0) {
+		t.Fatalf("an answer is guessed at %v tokens", n)
+	}
+	for i := range 3 { // streams that last
+		q := ask(fmt.Sprint("long", i), 0)
+		_, w := read(t, r, now, q)
+		r.Step(now+0.2, []Event{First{ID: q.ID, Attempt: 1, Engine: w, Spent: 0.01}})
+		now += 0.3
+	}
+}
+
 func TestLostPrefixesAreReadAnew(t *testing.T) {
 	r := start(t, testConfig(), fleet())
 	e := r.engines["r0"]
