Events leave together when they come together; asks of the module paced by their cost

Change: events that are at hand together leave in one write; a running stream's events are looked at, and parsed only where they may hold an error; the prompt is let go of once the answer has begun; the module is asked every 0.5 ms at most, and for a quarter of the owner's time at most (a module of its own).

--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,183 @@
+package cli
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"dillroute/lab/fleet"
+)
+
+// TestMain lets the test binary be the program, so that signals and exit codes are those of a process.
+func TestMain(m *testing.M) {
+	if os.Getenv("DILLROUTE_AS_PROGRAM") == "1" {
+		Main()
+	}
+	os.Exit(m.Run())
+}
+
+// program starts the program as a process.
+func program(t *testing.T, args ...string) (*exec.Cmd, *bufio.Scanner, *bytes.Buffer) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	cmd := exec.CommandContext(ctx, os.Args[0], args...)
+	cmd.Env = append(os.Environ(), "DILLROUTE_AS_PROGRAM=1")
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var errOut bytes.Buffer
+	cmd.Stderr = &errOut
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return cmd, bufio.NewScanner(out), &errOut
+}
+
+// line reads output up to a line that holds a text.
+func line(t *testing.T, sc *bufio.Scanner, want string) string {
+	t.Helper()
+	for sc.Scan() {
+		if strings.Contains(sc.Text(), want) {
+			return sc.Text()
+		}
+	}
+	t.Fatalf("%q was not printed", want)
+	return ""
+}
+
+func TestExitCodesAndMessages(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	os.WriteFile(bad, []byte(`{"lisen":"x:1"}`), 0o644)
+	for _, c := range []struct {
+		args []string
+		code int
+		says string
+	}{
+		{[]string{"version"}, ExitOK, "dillroute "}, {[]string{"--help"}, ExitOK, "badday"},
+		{[]string{"nonsense"}, ExitUsage, `unknown command "nonsense"`}, {[]string{"serve"}, ExitUsage, "needs --config"},
+		{[]string{"serve", "--config", bad}, ExitConfig, `did you mean "listen"?`},
+		{[]string{"config", "check", bad}, ExitConfig, "/listen: is missing"},
+		{[]string{"config", "check", "../../examples/node.json"}, ExitOK, "good"},
+		{[]string{"config", "schema", "list"}, ExitOK, "Engine list"}, {[]string{"config", "schema", "x"}, ExitUsage, "invalid argument"},
+		{[]string{"badday", bad}, ExitConfig, "/name: is missing"}, {[]string{"badday", "none.json"}, ExitConfig, "none.json"},
+		{[]string{"badday", "convert", bad}, ExitConfig, "not a day"}, {[]string{"engine", "--config", bad}, ExitConfig, "/id: is missing"},
+		{[]string{"demo", "--once"}, ExitOK, "0 "},
+	} {
+		var out, errOut bytes.Buffer
+		if code := Run(c.args, &out, &errOut); code != c.code || !strings.Contains(out.String()+errOut.String(), c.says) {
+			t.Errorf("%v: code %d, want %d with %q:\n%s%s", c.args, code, c.code, c.says, out.String(), errOut.String())
+		}
+	}
+}
+
+func TestEveryCommandHasAnExample(t *testing.T) {
+	root := newRoot()
+	for _, c := range root.Commands() {
+		for _, sub := range append(c.Commands(), c) {
+			if sub.Runnable() && !sub.Hidden && !strings.Contains(sub.Example, "dillroute ") {
+				t.Errorf("%s has no example", sub.CommandPath())
+			}
+		}
+	}
+}
+
+// ask sends one streamed question and returns the answer's text.
+func ask(url, key string) (int, string, error) {
+	q, err := http.NewRequest("POST", url+"/v1/chat/completions",
+		strings.NewReader(`{"model":"roster-chat","stream":true,"messages":[{"role":"user","content":"Who?"}]}`))
+	if err != nil {
+		return 0, "", err
+	}
+	q.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
+
+func TestServeReloadsAndStopsOnSignals(t *testing.T) {
+	defer http.DefaultClient.CloseIdleConnections()
+	dir := t.TempDir()
+	f := fleet.New(demoFleet(), nil)
+	if err := f.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer f.Stop()
+	list := filepath.Join(dir, "list.json")
+	if err := f.Publish(f.List(), "n", list); err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(dir, "node.json")
+	write := func(key, listen string) {
+		t.Helper()
+		text, err := os.ReadFile("../../examples/node.json")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var m map[string]any
+		json.Unmarshal(text, &m)
+		m["listen"], m["admin"] = listen, "127.0.0.1:0"
+		m["kinds"] = append(m["kinds"].([]any), map[string]any{"name": "mixed", "role": "mixed"})
+		m["tenants"] = []any{map[string]any{"name": "wellington", "keys": []string{key}}}
+		m["engines"] = map[string]any{"file": "list.json"}
+		b, _ := json.Marshal(m)
+		if err := os.WriteFile(file, b, 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("first-key", "127.0.0.1:0")
+	cmd, out, logs := program(t, "serve", "--config", file)
+	_, url, _ := strings.Cut(line(t, out, "listening on "), "listening on ")
+	_, admin, _ := strings.Cut(line(t, out, "admin on "), "admin on ")
+	for path, want := range map[string]int{"/healthz": 200, "/readyz": 200, "/metrics": 200, "/x": 404} {
+		if resp, err := http.Get(admin + path); err != nil || resp.StatusCode != want {
+			t.Errorf("%s: %v %v", path, resp, err)
+		} else {
+			resp.Body.Close()
+		}
+	}
+	if code, text, err := ask(url, "first-key"); code != 200 || !strings.Contains(text, "[DONE]") {
+		t.Fatal(code, text, err)
+	}
+	write("second-key", "127.0.0.1:1")
+	cmd.Process.Signal(syscall.SIGHUP)
+	code := 0
+	for end := time.Now().Add(10 * time.Second); code != 200 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		code, _, _ = ask(url, "second-key")
+	}
+	if old, _, _ := ask(url, "first-key"); code != 200 || old != 401 {
+		t.Fatal("the key was not changed", code, old)
+	}
+	held := make(chan string, 1)
+	go func() {
+		_, text, err := ask(url, "second-key")
+		held <- fmt.Sprint(text, err)
+	}()
+	time.Sleep(100 * time.Millisecond) // so that most runs have it held; either way it is answered
+	cmd.Process.Signal(syscall.SIGTERM)
+	if text := <-held; !strings.Contains(text, "[DONE]") && !strings.Contains(text, "node_draining") {
+		t.Errorf("the held request got %q", text)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("%v\n%s", err, logs)
+	}
+	if !strings.Contains(logs.String(), "needs_restart=[/listen") && !strings.Contains(logs.String(), "/listen") {
+		t.Errorf("the log does not say that /listen needs a restart:\n%s", logs)
+	}
+}
--- a/internal/cli/overhead.go
+++ b/internal/cli/overhead.go
@@ -204,10 +204,10 @@
 
 func printOverhead(out io.Writer, rs []overhead.Result) {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "\tp50\tp99\trequests/s\tper core\tevents/s\tper core\tbytes/idle\tbytes/stream\tdecide p99\terrors\t")
+	fmt.Fprintln(t, "\tp50\tp99\trequests/s\tper core\tevents/s\tper core\ttyped per core\tbytes/idle\tbytes/stream\tdecide p99\terrors\t")
 	for _, r := range rs {
-		fmt.Fprintf(t, "%s\t%.2f ms\t%.2f ms\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.3f ms\t%d\t\n", r.Name, r.P50ms, r.P99ms, r.RequestsPerS,
-			r.RequestsPerCore, r.EventsPerS, r.EventsPerCore, r.BytesPerIdle, r.BytesPerStream, r.DecideP99ms, r.Errors)
+		fmt.Fprintf(t, "%s\t%.2f ms\t%.2f ms\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.3f ms\t%d\t\n", r.Name, r.P50ms, r.P99ms, r.RequestsPerS,
+			r.RequestsPerCore, r.EventsPerS, r.EventsPerCore, r.TypedPerCore, r.BytesPerIdle, r.BytesPerStream, r.DecideP99ms, r.Errors)
 	}
 	t.Flush()
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -135,7 +135,7 @@
 // defaults are those that the schema states; a test compares the two.
 func defaults() Config {
 	return Config{
-		Node: Node{Nodes: 1}, SessionHeader: "X-Session-Id", LocalRead: true, Reports: "inline", Tick: 0.002,
+		Node: Node{Nodes: 1}, SessionHeader: "X-Session-Id", LocalRead: true, Reports: "inline", Tick: 0.0005,
 		Limits: Limits{MaxAttempts: 4, MaxOpen: 20000, MaxConnections: 20000, MaxBody: 4 << 20, MaxHeld: 1 << 30,
 			MaxEvent: 1 << 20, MaxAnswer: 8 << 20, Head: 10, Body: 30, Idle: 60, Write: 10, Connect: 0.25, Stall: 20,
 			EngineIdle: 30, EngineIdleConns: 64, MaxRetryAfter: 1, Shutdown: 30},
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -64,8 +64,9 @@
 	Load(*brain.Report)
 	// First waits for leave to answer the client.
 	First() bool
-	// Event passes an event on. An error means that the client is gone.
-	Event(data, raw []byte) error
+	// Event passes an event on; more tells that another follows at once, so that the two may leave together. An
+	// error means that the client is gone, or wraps ErrUnfit.
+	Event(data, raw []byte, more bool) error
 	// Finish passes the end on.
 	Finish() error
 }
@@ -142,6 +143,7 @@
 		fields = append(fields, http1.Field{Name: "Authorization", Value: "Bearer " + a.Client.Key})
 	}
 	sent, all, err := c.Send("POST", "/v1/chat/completions", append(fields, a.Extra...), a.Body)
+	a.Body = nil // a long stream need not hold it
 	if sent == all {
 		r.Facts.Progress = ending.Written
 	}
@@ -240,27 +242,62 @@
 	return r
 }
 
-// stream passes events until the mark of the end. Events before the first token are kept back, for the answer may
-// yet fail and be made elsewhere.
+// stream passes events until the mark of the end.
 func (a *Attempt) stream(c *http1.ClientConn, resp *http1.Response, sink Sink, r *Result) (ending.Cause, error) {
 	events := http1.NewEventReader(resp.Body, a.Client.MaxEvent)
 	defer events.Close()
-	var early [][2][]byte
-	held, first := 0, true
+	if cause, err := a.begin(events, sink, r); err != nil || r.Facts.Progress != ending.Streaming {
+		return cause, err
+	}
+	var looked time.Time // when the bound on a stall was last moved on; doing so for each event costs more than it
 	for {
-		if !first {
-			c.SetDeadline(time.Now().Add(a.Client.Stall()))
+		stall := a.Client.Stall()
+		if now := time.Now(); now.Sub(looked) > stall/64 {
+			looked = now
+			c.SetDeadline(now.Add(stall))
 		}
 		data, raw, err := events.Next()
 		if err != nil {
-			if err == io.EOF {
-				err = io.ErrUnexpectedEOF // the mark of the end is missing
+			return a.failed(whole(err), ending.Stalled), err
+		}
+		end, read := front.PassChunk(data)
+		if read {
+			chunk, err := front.ReadChunk(data)
+			if err != nil {
+				return a.failed(&http1.Error{Status: 502, Reason: err.Error()}, ending.Unreadable), err
 			}
-			timeout := ending.Expired
-			if !first {
-				timeout = ending.Stalled
+			if chunk.Err != nil {
+				return a.failed(nil, ending.Broken), errors.New("engine: error event: " + chunk.Err.Message)
 			}
-			return a.failed(err, timeout), err
+		}
+		if end {
+			if err := sink.Finish(); err != nil {
+				return sinkCause(err), err
+			}
+			return ending.Answered, nil
+		}
+		if err := sink.Event(data, raw, events.More()); err != nil {
+			return sinkCause(err), err
+		}
+	}
+}
+
+// whole turns the end of the connection into an error: the mark of the end is missing.
+func whole(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// begin reads up to the first token and passes it on, once the client's answer is granted. Events before it are kept
+// back, for the answer may yet fail and be made elsewhere.
+func (a *Attempt) begin(events *http1.EventReader, sink Sink, r *Result) (ending.Cause, error) {
+	var early [][2][]byte
+	for held := 0; ; {
+		data, raw, err := events.Next()
+		if err != nil {
+			return a.failed(whole(err), ending.Expired), err
 		}
 		chunk, err := front.ReadChunk(data)
 		switch {
@@ -268,35 +305,26 @@
 			return a.failed(&http1.Error{Status: 502, Reason: err.Error()}, ending.Unreadable), err
 		case chunk.Err != nil:
 			return a.failed(nil, ending.Broken), errors.New("engine: error event: " + chunk.Err.Message)
-		case chunk.Done && first:
-			return ending.Unreadable, errors.New("engine: a stream without a token")
 		case chunk.Done:
-			if err := sink.Finish(); err != nil {
-				return sinkCause(err), err
-			}
-			return ending.Answered, nil
-		case first && !chunk.Token:
-			if held += len(raw); held > a.Client.MaxEvent {
-				return ending.Unreadable, http1.ErrEventTooLong
-			}
-			early = append(early, [2][]byte{bytes.Clone(data), bytes.Clone(raw)})
+			return ending.Unreadable, errors.New("engine: a stream without a token")
+		}
+		if held += len(raw); held > a.Client.MaxEvent {
+			return ending.Unreadable, http1.ErrEventTooLong
+		}
+		early = append(early, [2][]byte{bytes.Clone(data), bytes.Clone(raw)})
+		if !chunk.Token {
 			continue
-		case first:
-			if !sink.First() {
-				return a.failed(nil, ending.Broken), nil
-			}
-			first = false
-			r.Facts.Progress = ending.Streaming
-			for _, e := range early {
-				if err := sink.Event(e[0], e[1]); err != nil {
-					return sinkCause(err), err
-				}
-			}
-			early = nil
 		}
-		if err := sink.Event(data, raw); err != nil {
-			return sinkCause(err), err
+		if !sink.First() {
+			return a.failed(nil, ending.Broken), nil
+		}
+		r.Facts.Progress = ending.Streaming
+		for i, e := range early {
+			if err := sink.Event(e[0], e[1], i+1 < len(early)); err != nil {
+				return sinkCause(err), err
+			}
 		}
+		return ending.Answered, nil
 	}
 }
 
--- a/internal/front/gather.go
+++ b/internal/front/gather.go
@@ -57,6 +57,19 @@
 	return k, nil
 }
 
+// errorMember is how an error begins in a chunk. Within a text its quotes would be escaped.
+var errorMember = []byte(`"error"`)
+
+// PassChunk looks at an event of a running stream without reading it: is it the mark of the end, or has it to be
+// read because it may tell of an error, or is no object.
+func PassChunk(data []byte) (end, read bool) {
+	if bytes.Equal(data, done) {
+		return true, false
+	}
+	n := len(data)
+	return false, n < 2 || data[0] != '{' || data[n-1] != '}' || bytes.Contains(data, errorMember)
+}
+
 // Gather puts the chunks of a stream together as the whole answer that the client asked for: texts are joined,
 // lists merged by their index, and whatever else comes is kept as it came last.
 type Gather struct {
--- a/internal/http1/events.go
+++ b/internal/http1/events.go
@@ -81,6 +81,12 @@
 	}
 }
 
+// More tells whether a further event, or the end of a comment, is at hand without waiting for the peer.
+func (e *EventReader) More() bool {
+	b, _ := e.br.Peek(e.br.Buffered())
+	return bytes.Contains(b, []byte("\n\n"))
+}
+
 // AppendEvent appends an event with the data given, which holds no line end.
 func AppendEvent(b, data []byte) []byte {
 	b = append(b, "data: "...)
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -25,7 +25,9 @@
 		}
 	case ledger.Grant:
 		if c := n.calls[cmd.ID]; c != nil && c.grants[cmd.N] != nil {
-			c.granted = c.granted || cmd.OK
+			if cmd.OK {
+				c.chat = nil // there will be no other attempt; a long stream need not hold the prompt
+			}
 			c.grants[cmd.N] <- cmd.OK
 		}
 	case ledger.Release:
@@ -198,13 +200,13 @@
 
 // stream passes the answer of one attempt to the client. It belongs to the attempt's goroutine.
 type stream struct {
-	node   *Node
-	call   *call
-	n      int
-	engine string
-	grant  chan bool
-	gather *front.Gather // where the client asked for a whole answer
-	count  int
+	node    *Node
+	call    *call
+	n       int
+	engine  string
+	grant   chan bool
+	gather  *front.Gather // where the client asked for a whole answer
+	pending []byte        // events that leave with the next
 }
 
 // Load tells the module the engine's load when its answer begins, as the result of a probe would.
@@ -242,8 +244,7 @@
 }
 
 // Event passes an event on; a whole answer is gathered.
-func (s *stream) Event(data, raw []byte) error {
-	s.count++
+func (s *stream) Event(data, raw []byte, more bool) error {
 	if s.gather != nil {
 		if err := s.gather.Add(data); err != nil {
 			return fmt.Errorf("%w: %v", engine.ErrUnfit, err)
@@ -257,6 +258,25 @@
 			return fmt.Errorf("client: %w", err)
 		}
 	}
+	if more && len(s.pending)+len(raw) <= maxTogether {
+		s.pending = append(s.pending, raw...)
+		return nil
+	}
+	return s.flush(raw)
+}
+
+// maxTogether bounds the bytes of events that leave in one write.
+const maxTogether = 8 << 10
+
+// flush writes the events that wait, and one more.
+func (s *stream) flush(raw []byte) error {
+	if len(s.pending) > 0 {
+		raw = append(s.pending, raw...)
+		s.pending = s.pending[:0]
+		if cap(raw) > maxTogether/4 { // a stream that rushed once holds no buffer for ever
+			s.pending = nil
+		}
+	}
 	_, err := s.call.x.Write(raw)
 	return err
 }
@@ -270,7 +290,7 @@
 		}
 		return s.call.x.Reply(200, []http1.Field{front.JSONType, {Name: "X-Request-Id", Value: s.call.id}}, body)
 	}
-	if _, err := s.call.x.Write([]byte("data: [DONE]\n\n")); err != nil {
+	if err := s.flush([]byte("data: [DONE]\n\n")); err != nil {
 		return err
 	}
 	return s.call.x.End()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -8,6 +8,7 @@
 
 	"dillroute/brain"
 	"dillroute/internal/decide/ledger"
+	"dillroute/internal/decide/rhythm"
 	"dillroute/internal/wheel"
 )
 
@@ -28,7 +29,7 @@
 // others reach it through post alone.
 type core struct {
 	clock  clock
-	tick   float64
+	beat   rhythm.Beat
 	router *brain.Router
 	book   *ledger.Ledger
 	wheel  *wheel.Wheel[func(now float64)]
@@ -44,9 +45,8 @@
 	closed bool
 	done   chan struct{} // closed when the owner has ended
 
-	stepped float64 // when the module was last asked
-	wakes   []brain.Event
-	quit    bool
+	wakes []brain.Event
+	quit  bool
 }
 
 // post hands a fact to the owner. It never blocks, and tells whether the owner still runs.
@@ -88,7 +88,7 @@
 		c.wheel.Advance(now, func(f func(float64)) { f(now) })
 		c.commands(now)
 		pending := c.book.Pending() || len(c.wakes) > 0
-		if pending && now >= c.stepped+c.tick {
+		if pending && now >= c.beat.Next() {
 			c.step(now)
 			pending = c.book.Pending()
 		}
@@ -115,7 +115,7 @@
 		wait = at - now
 	}
 	if pending {
-		wait = min(wait, c.stepped+c.tick-now)
+		wait = min(wait, c.beat.Next()-now)
 	}
 	c.mu.Lock()
 	more := len(c.inbox) > 0
@@ -140,10 +140,9 @@
 	c.wakes = c.wakes[:0]
 	start := time.Now()
 	acts, err := c.ask(now, events)
-	c.stepped = now
-	if c.decide != nil {
-		c.decide(time.Since(start).Seconds())
-	}
+	took := time.Since(start).Seconds()
+	c.beat.Done(now, took)
+	c.decide(took)
 	if err != nil {
 		c.broken(err)
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"dillroute/internal/decide/ending"
 	"dillroute/internal/decide/intake"
 	"dillroute/internal/decide/ledger"
+	"dillroute/internal/decide/rhythm"
 	"dillroute/internal/engine"
 	"dillroute/internal/front"
 	"dillroute/internal/http1"
@@ -89,7 +90,7 @@
 		prefix: fmt.Sprintf("%s-%08x", cfg.Node.Name, rand.Uint32()), metrics: newMetrics()}
 	n.setView(cfg)
 	clk := newClock()
-	n.core = &core{clock: clk, tick: cfg.Tick, router: router, book: ledger.New(bookConfig(cfg), cfg.Brain().Kinds),
+	n.core = &core{clock: clk, beat: rhythm.Beat{Tick: cfg.Tick}, router: router, book: ledger.New(bookConfig(cfg), cfg.Brain().Kinds),
 		wheel: wheel.New[func(float64)](clk.now(), 0.001), wake: make(chan struct{}, 1), done: make(chan struct{}),
 		carry: n.carry, side: n.side, decide: n.metrics.decided, broken: n.breakDown}
 	n.engines = &engine.Client{Node: cfg.Node.Name, Key: cfg.Engines.Key, Connect: seconds(cfg.Limits.Connect),
@@ -341,7 +342,6 @@
 	replies  map[int]reply
 	guard    *wheel.Timer[func(float64)]
 	answered bool // the answer has been given to a goroutine of its own
-	granted  bool
 	started  time.Time
 }
 
--- a/lab/overhead/overhead.go
+++ b/lab/overhead/overhead.go
@@ -98,11 +98,12 @@
 	Streams  int           // held open at once for memory
 	Burst    int           // streams at once that measure events
 	Events   int           // of each of those
+	Typing   int           // paced streams at once, an event every 10 ms, as engines make them
 	Settle   time.Duration // before memory is read
 }
 
 // DefaultPlan is the one of docs/benchmarks.md.
-var DefaultPlan = Plan{Requests: 20000, Workers: 64, Paced: 5000, Rate: 1000, Streams: 5000, Burst: 64, Events: 4000,
+var DefaultPlan = Plan{Requests: 20000, Workers: 64, Paced: 5000, Rate: 1000, Streams: 5000, Burst: 64, Events: 4000, Typing: 500,
 	Settle: 2 * time.Second}
 
 // Result is what a target did.
@@ -114,7 +115,8 @@
 	RequestsPerS    float64 `json:"requests_per_s"`
 	RequestsPerCore float64 `json:"requests_per_core_s"`
 	EventsPerS      float64 `json:"events_per_s"`
-	EventsPerCore   float64 `json:"events_per_core_s"`
+	EventsPerCore   float64 `json:"events_per_core_s"`       // as fast as they come
+	TypedPerCore    float64 `json:"typed_events_per_core_s"` // one by one
 	BytesPerIdle    float64 `json:"resident_bytes_per_idle_connection"`
 	BytesPerStream  float64 `json:"resident_bytes_per_open_stream"`
 	DecideP99ms     float64 `json:"decide_p99_ms"`
@@ -145,6 +147,15 @@
 	g.closed(ctx, p.Burst, p.Burst, p.Events, &events)
 	wall, used = time.Since(start).Seconds(), cpuSeconds(t.PID)-cpu
 	r.EventsPerS, r.EventsPerCore = float64(events.Load())/wall, per(float64(events.Load()), used)
+	cpu = cpuSeconds(t.PID)
+	var typed atomic.Int64
+	var wg sync.WaitGroup
+	for range p.Typing {
+		wg.Add(1)
+		go func() { defer wg.Done(); g.ask(ctx, 500, 10, &typed) }()
+	}
+	wg.Wait()
+	r.TypedPerCore = per(float64(typed.Load()), cpuSeconds(t.PID)-cpu)
 	fmt.Fprintf(out, "%s: events done\n", t.Name)
 	if err := g.memory(ctx, p, &r); err != nil {
 		return r, err
