--- /dev/null
+++ b/internal/decide/believe/ask.go
@@ -0,0 +1,50 @@
+package believe
+
+// Asker decides when a node asks the source of the list again. Hundreds of nodes ask the same source: after a failure
+// each waits longer and by chance, and none asks more often than its budget, whatever the source answers. Times are in
+// seconds.
+type Asker struct {
+	Least, Most float64 // wait after a failure, at first and at last
+	PerS, Burst float64 // budget of calls
+	Draw        func() float64
+	wait        float64
+	tokens      float64
+	at          float64
+	begun       bool
+}
+
+// NewAsker returns one with our starting values. draw gives numbers from 0 up to 1, and is the only source of chance.
+func NewAsker(draw func() float64) *Asker {
+	return &Asker{Least: 0.25, Most: 20, PerS: 2, Burst: 4, Draw: draw}
+}
+
+// Start returns when the first call may be made: nodes that start together do not ask together.
+func (a *Asker) Start(now float64) float64 { return a.spend(now + a.Least*a.Draw()) }
+
+// After returns when to call again after a call that ended at now, in success or not. A good answer is asked after at
+// once (the source holds the call until there is news), within the budget. A failure is waited out by decorrelated
+// jitter (Brooker, "Exponential Backoff and Jitter", 2015).
+func (a *Asker) After(now float64, good bool) float64 {
+	if good {
+		a.wait = 0
+		return a.spend(now)
+	}
+	from := max(a.Least, a.wait)
+	a.wait = min(a.Most, a.Least+a.Draw()*(3*from-a.Least))
+	return a.spend(now + a.wait)
+}
+
+// spend takes one call from the budget and returns when it may be made, not before the time given.
+func (a *Asker) spend(at float64) float64 {
+	if !a.begun {
+		a.begun, a.tokens, a.at = true, a.Burst, at
+	}
+	if at > a.at {
+		a.tokens, a.at = min(a.Burst, a.tokens+a.PerS*(at-a.at)), at
+	}
+	a.tokens--
+	if a.tokens >= 0 {
+		return at
+	}
+	return at - a.tokens/a.PerS
+}
--- a/internal/decide/ending/ending.go
+++ b/internal/decide/ending/ending.go
@@ -171,6 +171,11 @@
 	return a
 }
 
+// TooSlow is the answer where a whole answer is not ready when its client gives up.
+func TooSlow(effect brain.Effect, group brain.Group) Answer {
+	return Answer{HTTP: 504, Code: "answer_too_slow", Retry: Repeats(effect, group, true)}
+}
+
 // Repeats tells whether the client may be told that a further try is harmless (rule 2): always where nothing
 // can have run, and else where every engine takes or discards a repeat.
 func Repeats(effect brain.Effect, group brain.Group, mayHaveRun bool) bool {
--- a/internal/decide/intake/intake.go
+++ b/internal/decide/intake/intake.go
@@ -13,6 +13,7 @@
 type Class struct {
 	Patience, PatiencePerK float64 // s until the client gives up, and more for each 1,000 prompt tokens
 	MaxTokens              int     // taken where the request states none
+	TokenAim               float64 // s between tokens
 }
 
 // Rule settles a class by the model's name (a shell pattern) and a header; empty parts fit everything.
@@ -93,15 +94,30 @@
 	return v != "" && (r.AnyValue || v == r.Value)
 }
 
-// Patience returns how long a client waits for the first token, in seconds: as its class says, or less where it
-// has told so itself (stated, 0 = not).
-func (t *Table) Patience(class, promptTokens int, stated float64) float64 {
+// Wait is how long a client waits, in seconds.
+type Wait struct {
+	First float64 // for the first token
+	Whole float64 // for the whole of an answer that is not streamed; 0 = it is
+}
+
+// Patience returns how long a client waits: as its class says, or less where it has told so itself (stated, 0 = not).
+// A client that asks for no stream sees nothing before the end. What it waits must hold the making of the answer too:
+// the longest at the pace aimed for, but never more than half, since most answers are shorter.
+func (t *Table) Patience(class, promptTokens, maxTokens int, stated float64, whole bool) Wait {
 	c := &t.classes[class]
-	p := c.Patience + c.PatiencePerK*float64(promptTokens)/1000
+	w := Wait{First: c.Patience + c.PatiencePerK*float64(promptTokens)/1000}
+	making := float64(maxTokens) * c.TokenAim
+	if whole {
+		w.Whole = w.First + 2*making // twice the pace aimed for is the slowest that is worth anything
+		if stated > 0 {
+			w.Whole = min(w.Whole, stated)
+			stated = max(stated-making, stated/2)
+		}
+	}
 	if stated > 0 {
-		p = min(p, stated)
+		w.First = min(w.First, stated)
 	}
-	return p
+	return w
 }
 
 // MaxTokens returns the most that an answer may hold.
--- a/internal/decide/intake/intake_test.go
+++ b/internal/decide/intake/intake_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 func TestWhoseAndOfWhichClass(t *testing.T) {
-	table := NewTable([]Class{{Patience: 5, PatiencePerK: 2, MaxTokens: 800}, {Patience: 9}},
+	table := NewTable([]Class{{Patience: 5, PatiencePerK: 2, MaxTokens: 800, TokenAim: 0.05}, {Patience: 9}},
 		map[string]int{"roster-chat": 0, "roster-commit": 1},
 		[]Rule{{Model: "roster-c[h]at", Header: "X-Urgent", Value: "yes", Class: 1}, {Header: "X-Any", AnyValue: true, Class: 1}},
 		[][]string{{"key-one"}, {"key-two", "key-three"}}, [][]string{nil, nil,
@@ -29,14 +29,20 @@
 			t.Errorf("%+v: %d, %v", c, class, known)
 		}
 	}
-	if p := table.Patience(0, 1500, 0); p != 8 {
-		t.Error(p)
-	}
-	if p := table.Patience(0, 1500, 3); p != 3 {
-		t.Error(p)
-	}
-	if p := table.Patience(0, 0, 30); p != 5 {
-		t.Error("a client cannot make the node wait longer than its class", p)
+	for _, c := range []struct {
+		prompt, max int
+		stated      float64
+		whole       bool
+		want        Wait
+	}{
+		{1500, 100, 0, false, Wait{First: 8}}, {1500, 100, 3, false, Wait{First: 3}},
+		{0, 100, 30, false, Wait{First: 5}}, // a client cannot make the node wait longer than its class
+		{0, 100, 0, true, Wait{First: 5, Whole: 15}}, {0, 20, 4, true, Wait{First: 3, Whole: 4}},
+		{0, 100, 4, true, Wait{First: 2, Whole: 4}},
+	} {
+		if w := table.Patience(0, c.prompt, c.max, c.stated, c.whole); w != c.want {
+			t.Errorf("%+v: %+v", c, w)
+		}
 	}
 	if table.MaxTokens(0, 0) != 800 || table.MaxTokens(0, 5) != 5 {
 		t.Error("max tokens")
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -106,6 +106,7 @@
 type entry struct {
 	class     *brain.Class
 	deadline  float64
+	wholeBy   float64   // when an answer that is gathered must have ended; 0 = it is streamed
 	attempts  []attempt // those that were begun
 	sent      int       // attempts that the module has asked for
 	out       int       // attempts that have not ended
@@ -202,6 +203,9 @@
 	if e == nil {
 		return 0, false
 	}
+	if e.answering && e.wholeBy > 0 {
+		return e.wholeBy, true
+	}
 	return e.deadline + l.cfg.Slack, true
 }
 
@@ -214,7 +218,10 @@
 }
 
 // Request takes a request, or tells why not: such a request is not taken, and a retry is harmless.
-func (l *Ledger) Request(now float64, q brain.Request) (ending.Answer, bool) {
+//
+// whole is how long the client waits for the whole of an answer that is not streamed (s); 0 = it is streamed, and
+// nothing bounds it once it has begun.
+func (l *Ledger) Request(now float64, q brain.Request, whole float64) (ending.Answer, bool) {
 	switch {
 	case l.closing:
 		l.counts.TurnedAway++
@@ -226,13 +233,21 @@
 		l.fault("request %s: its id is in use, or its class %d is not known", q.ID, q.Class)
 		return ending.Answer{HTTP: 500, Code: "internal", Retry: true}, false
 	}
-	l.open[q.ID] = &entry{class: &l.cfg.Classes[q.Class], deadline: now + q.TimeLeft}
+	e := &entry{class: &l.cfg.Classes[q.Class], deadline: now + q.TimeLeft}
+	if whole > 0 {
+		e.wholeBy = now + whole - wholeMargin
+	}
+	l.open[q.ID] = e
 	l.live++
 	l.counts.Taken++
 	l.emit(q)
 	return ending.Answer{}, true
 }
 
+// wholeMargin is how long before its client gives up a whole answer that is not ready is given up (s): the attempt
+// has to stop before the last word can be written.
+const wholeMargin = 0.05
+
 // Members files a list before the module sees it, so that both know the same. since is when it was learned.
 func (l *Ledger) Members(now float64, m brain.Members) {
 	if m.Form == brain.ListLost {
@@ -591,7 +606,13 @@
 // Overdue is told when the time of Deadline has come. The module answers before it; this is the net under it.
 func (l *Ledger) Overdue(now float64, id string) {
 	e := l.open[id]
-	if e == nil || e.concluded || e.answering {
+	switch {
+	case e == nil || e.concluded:
+		return
+	case e.answering:
+		if e.wholeBy > 0 && now >= e.wholeBy {
+			l.giveUp(id, e, ending.TooSlow(e.class.Effect, e.class.Group), "the answer was not whole in time")
+		}
 		return
 	}
 	l.fault("request %s was not answered in time by the module", id)
--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -51,7 +51,7 @@
 
 func TestOnceIsNotSentAgainAfterItMayHaveRun(t *testing.T) {
 	l := newBook()
-	l.Request(1, request("a", 1))
+	l.Request(1, request("a", 1), 0)
 	n := decode(t, l, 1, "a", "w0")
 	l.Ended(1.1, "a", n, ending.Facts{Progress: ending.Written, Cause: ending.Broken}, nil)
 	l.Apply(1.2, brain.Send{ID: "a", Engine: "w1"})
@@ -78,7 +78,7 @@
 		may    bool
 	}{{2, "w0", 1.5, true}, {2, "w1", 1.5, false}, {2, "w0", 3.5, false}, {3, "w1", 1.5, true}, {3, "w1", 3.5, false}} {
 		l := newBook()
-		l.Request(1, request("a", c.class))
+		l.Request(1, request("a", c.class), 0)
 		n := decode(t, l, 1, "a", "w0")
 		l.Ended(1.2, "a", n, ending.Facts{Progress: ending.Written, Cause: ending.Expired}, nil)
 		l.TakeCommands()
@@ -98,7 +98,7 @@
 		may    bool
 	}{{"w0", 10.2, true}, {"w0", 10.3, false}, {"w1", 10.2, true}, {"w1", 10.3, false}, {"w9", 10.1, false}} {
 		id := fmt.Sprint("q", i)
-		l.Request(c.at, request(id, 0))
+		l.Request(c.at, request(id, 0), 0)
 		l.Take()
 		l.Apply(c.at, brain.Send{ID: id, Engine: c.engine})
 		if got := len(find[Start](l)) == 1; got != c.may {
@@ -109,7 +109,7 @@
 
 func TestFirstTokenIsGrantedOnce(t *testing.T) {
 	l := newBook()
-	l.Request(1, request("a", 0))
+	l.Request(1, request("a", 0), 0)
 	x, y := decode(t, l, 1, "a", "w0"), decode(t, l, 1, "a", "w1")
 	l.First(1.1, "a", x)
 	l.First(1.1, "a", y)
@@ -126,7 +126,7 @@
 
 func TestLastWordWaitsForTheStreamToStop(t *testing.T) {
 	l := newBook()
-	l.Request(1, request("a", 1))
+	l.Request(1, request("a", 1), 0)
 	n := decode(t, l, 1, "a", "w0")
 	l.First(1.1, "a", n)
 	l.TakeCommands()
@@ -142,9 +142,29 @@
 	}
 }
 
+func TestWholeAnswerEndsBeforeItsClientGivesUp(t *testing.T) {
+	l := newBook()
+	l.Request(1, request("a", 1), 8)
+	n := decode(t, l, 1, "a", "w0")
+	l.First(2, "a", n)
+	at, _ := l.Deadline("a")
+	l.Overdue(at-0.5, "a")
+	if as := find[Abort](l); len(as) != 0 || at > 9 || at < 8 {
+		t.Fatalf("%v at %g", as, at)
+	}
+	l.Overdue(at, "a")
+	if as := find[Abort](l); len(as) != 1 {
+		t.Fatalf("%v", as)
+	}
+	l.Ended(at+0.01, "a", n, ending.Facts{Cause: ending.Overtaken}, nil)
+	if as := find[Answer](l); len(as) != 1 || as[0].Answer.Retry || as[0].Answer.Code != "answer_too_slow" {
+		t.Fatalf("%+v", as)
+	}
+}
+
 func TestLateReadIsLetGoOf(t *testing.T) {
 	l := newBook()
-	l.Request(1, request("a", 0))
+	l.Request(1, request("a", 0), 0)
 	n := decode(t, l, 1, "a", "r0")
 	l.Hangup(1.1, "a", false)
 	l.Ended(1.2, "a", n, ending.Facts{Cause: ending.Answered, Progress: ending.Headed, HTTP: 200, State: true}, nil)
@@ -286,7 +306,7 @@
 				id := fmt.Sprint("q", len(ids))
 				w.class[id] = rapid.IntRange(0, 3).Draw(t, "class")
 				w.out[id], w.owed[id], w.states[id] = map[int]Start{}, map[int]bool{}, map[int]bool{}
-				if _, ok := w.l.Request(w.now, request(id, w.class[id])); ok {
+				if _, ok := w.l.Request(w.now, request(id, w.class[id]), rapid.SampledFrom([]float64{0, 6}).Draw(t, "whole")); ok {
 					ids = append(ids, id)
 				}
 				w.drain()
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -61,7 +61,7 @@
 		return nil, err
 	}
 	p.opened.Add(1)
-	return &ClientConn{addr: addr, nc: nc, br: bufio.NewReaderSize(nc, 2<<10), lim: p.Limits}, nil
+	return &ClientConn{addr: addr, nc: nc, br: bufio.NewReaderSize(nc, 1<<10), lim: p.Limits}, nil
 }
 
 func (p *Pool) pop(addr string) *ClientConn {
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -26,6 +26,8 @@
 	case ledger.Grant:
 		if c := n.calls[cmd.ID]; c != nil && c.grants[cmd.N] != nil {
 			if cmd.OK {
+				n.core.wheel.Cancel(c.guard)
+				n.guard(c)   // another deadline holds now, or none
 				c.chat = nil // there will be no other attempt; a long stream need not hold the prompt
 			}
 			c.grants[cmd.N] <- cmd.OK
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -224,7 +224,8 @@
 	}
 	var classes []intake.Class
 	for _, c := range cfg.Classes {
-		classes = append(classes, intake.Class{Patience: c.Patience, PatiencePerK: c.PatiencePerK, MaxTokens: c.MaxTokens})
+		classes = append(classes, intake.Class{Patience: c.Patience, PatiencePerK: c.PatiencePerK, MaxTokens: c.MaxTokens,
+			TokenAim: c.TokenAim})
 	}
 	var keys, hashes [][]string
 	for _, t := range cfg.Tenants {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -148,21 +148,23 @@
 		id:       n.prefix + "-" + strconv.FormatUint(n.serial.Add(1), 36),
 		attempts: map[int]*engine.Attempt{}, grants: map[int]chan bool{}, states: map[int]json.RawMessage{},
 		replies: map[int]reply{}}
+	most := v.table.MaxTokens(class, chat.MaxTokens)
+	wait := v.table.Patience(class, chat.PromptTokens, most, stated, !chat.Stream)
 	q := brain.Request{ID: c.id, Class: class, Tenant: tenant, Session: chat.Session, Prefix: chat.Prefix,
-		TimeLeft: v.table.Patience(class, chat.PromptTokens, stated), PromptLen: float64(chat.PromptTokens),
-		PrefixLen: float64(chat.PrefixTokens), MaxOut: float64(v.table.MaxTokens(class, chat.MaxTokens)),
-		Retry: retried(x)}
+		TimeLeft: wait.First, PromptLen: float64(chat.PromptTokens), PrefixLen: float64(chat.PrefixTokens),
+		MaxOut: float64(most), Retry: retried(x)}
 	if chosen := x.Header.Get("X-Request-Id"); chosen != "" {
 		n.log.Debug("taken", "request", c.id, "client_request", clip(chosen), "class", v.cfg.Classes[class].Name)
 	}
-	if !n.core.post(func(now float64) { n.take(now, c, q) }) {
+	x.Header = nil // all that is needed of it is in c and q
+	if !n.core.post(func(now float64) { n.take(now, c, q, wait.Whole) }) {
 		refuse(x, 503, true, "node_stopping", "", "the node is stopping")
 	}
 }
 
 // take enters a request in the book.
-func (n *Node) take(now float64, c *call, q brain.Request) {
-	no, ok := n.core.book.Request(now, q)
+func (n *Node) take(now float64, c *call, q brain.Request, whole float64) {
+	no, ok := n.core.book.Request(now, q, whole)
 	if !ok {
 		n.metrics.answered("turned_away")
 		n.reply(c, no.HTTP, append(front.RetryFields(no.Retry, 0), front.JSONType),
@@ -170,8 +172,7 @@
 		return
 	}
 	n.calls[c.id] = c
-	at, _ := n.core.book.Deadline(c.id)
-	c.guard = n.core.wheel.Add(at, func(now float64) { n.core.book.Overdue(now, c.id) })
+	n.guard(c)
 	c.x.OnHangup(func(half bool) {
 		n.core.post(func(now float64) {
 			if n.calls[c.id] == c {
@@ -181,6 +182,20 @@
 	})
 }
 
+// guard has the book look at a request when it says that it must, as long as it knows it.
+func (n *Node) guard(c *call) {
+	at, ok := n.core.book.Deadline(c.id)
+	if !ok {
+		return
+	}
+	c.guard = n.core.wheel.Add(at, func(now float64) {
+		n.core.book.Overdue(now, c.id)
+		if next, ok := n.core.book.Deadline(c.id); ok && next > now {
+			n.guard(c)
+		}
+	})
+}
+
 // retried tells whether the client marks a request as a repeat of its own, as published clients do.
 func retried(x *http1.Exchange) bool {
 	count, err := strconv.Atoi(x.Header.Get("X-Stainless-Retry-Count"))
