Engine lists from a Consul-style server; the last believed list outlives the process

Need: many nodes read one list server, which may hang, forget, cut its answers short or lose most of the fleet.

Change: a follower holds the believer for file and server alike; blocking queries with a jittered, budgeted asker; a stand-in list server with those faults; a state directory keeps the last believed list, used at a start until a source answers.

Result: tests for index going backwards, truncated, malformed and empty answers, a hanging and a restarting server; race tests green.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,6 +28,7 @@
 	Reports       string   `json:"reports"`
 	Tick          float64  `json:"tick_s"`
 	Engines       Engines  `json:"engines"`
+	StateDir      string   `json:"state_dir"`
 	Log           Log      `json:"log"`
 }
 
@@ -117,11 +118,14 @@
 	LetGoBy      float64 `json:"let_go_by_s"`
 }
 
-// Engines says where the engine list is.
+// Engines says where the engine list is: a file, or a list server.
 type Engines struct {
-	File string  `json:"file"`
-	Poll float64 `json:"poll_s"`
-	Key  string  `json:"key"`
+	File    string  `json:"file"`
+	Poll    float64 `json:"poll_s"`
+	Consul  string  `json:"consul"`
+	Service string  `json:"service"`
+	Wait    float64 `json:"wait_s"`
+	Key     string  `json:"key"`
 }
 
 // Log says how the node logs.
@@ -141,7 +145,7 @@
 			EngineIdle: 30, EngineIdleConns: 64, MaxRetryAfter: 1, Shutdown: 30},
 		Rules: Rules{AnswerSlack: 0.05, DrainGrace: 0.25, ColdShare: 0.25, Cold: 14, FallMultiple: 4, TipAfter: 1.5,
 			LetGoBy: 1},
-		Engines: Engines{Poll: 1}, Log: Log{Format: "json", Level: "info"},
+		Engines: Engines{Poll: 1, Service: "engines", Wait: 30}, Log: Log{Format: "json", Level: "info"},
 	}
 }
 
@@ -154,8 +158,10 @@
 	if err := c.settle(); err != nil {
 		return nil, fmt.Errorf("%s:\n%w", file, err)
 	}
-	if !filepath.IsAbs(c.Engines.File) {
-		c.Engines.File = filepath.Join(filepath.Dir(file), c.Engines.File)
+	for _, p := range []*string{&c.Engines.File, &c.StateDir} {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(filepath.Dir(file), *p)
+		}
 	}
 	return &c, nil
 }
@@ -345,6 +351,7 @@
 	refuse("/reports", c.Reports, next.Reports)
 	refuse("/tick_s", c.Tick, next.Tick)
 	refuse("/engines", c.Engines, next.Engines)
+	refuse("/state_dir", c.StateDir, next.StateDir)
 	// Models and rules may name classes that this node does not have yet.
 	if err := m.settle(); err != nil {
 		return c, nil, append(taken, refused...)
--- /dev/null
+++ b/internal/members/consul_test.go
@@ -0,0 +1,138 @@
+package members
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"dillroute/internal/config"
+	"dillroute/lab/standin"
+)
+
+func instances(ids ...string) []standin.Instance {
+	var xs []standin.Instance
+	for _, id := range ids {
+		xs = append(xs, standin.Instance{ID: id, Address: "127.0.0.1:9", Meta: map[string]string{"kind": "p", "cell": "y", "zone": "zb"}})
+	}
+	return xs
+}
+
+// listed starts a list server and follows it.
+func listed(t *testing.T, ids ...string) (*standin.ListServer, chan *List, chan string) {
+	t.Helper()
+	s := standin.NewListServer(100)
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Stop() })
+	s.Set(instances(ids...))
+	c := parser(t).Config
+	c.Engines = config.Engines{Consul: s.Address(), Service: "engines", Wait: 0.2}
+	lists, words, err := follow(t, c, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, lists, strings.Join(ids, " "))
+	return s, lists, words
+}
+
+// until reads beliefs until one names just these engines; draining ones carry a mark.
+func until(t *testing.T, lists chan *List, want string) *List {
+	t.Helper()
+	got := ""
+	for range 50 {
+		l := next(t, lists)
+		var ids []string
+		for _, e := range l.Engines {
+			id := e.ID
+			if e.State != 0 {
+				id += "*"
+			}
+			ids = append(ids, id)
+		}
+		if got = strings.Join(ids, " "); got == want {
+			return l
+		}
+	}
+	t.Fatalf("believed %q at last, want %q", got, want)
+	return nil
+}
+
+func TestBlockingQueriesBringChangesAtOnce(t *testing.T) {
+	s, lists, _ := listed(t, "a", "b")
+	s.Set(instances("a", "b", "c"))
+	l := until(t, lists, "a b c")
+	if e := l.Engines[2]; e.Zone != 1 || e.Kind != 0 || l.Addresses["c"] != "127.0.0.1:9" {
+		t.Fatalf("%+v", l)
+	}
+	xs := instances("a", "b", "c")
+	xs[1].Critical = true
+	s.Set(xs)
+	until(t, lists, "a b* c")
+}
+
+func TestSickListServerLeavesTheLastList(t *testing.T) {
+	for name, f := range map[string]standin.ListFaults{"truncated": {Truncate: true}, "errors": {Errors: true},
+		"no index": {NoIndex: true}, "malformed": {Malformed: true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, lists, words := listed(t, "a", "b")
+			s.SetFaults(f)
+			if text := next(t, words); !strings.Contains(text, "the last one stays") {
+				t.Fatal(text)
+			}
+			select {
+			case l := <-lists:
+				t.Fatalf("believed %+v", l)
+			default:
+			}
+			s.SetFaults(standin.ListFaults{})
+			s.Set(instances("a", "b", "d"))
+			until(t, lists, "a b d")
+		})
+	}
+}
+
+func TestServerThatHangsIsLeftByItsTime(t *testing.T) {
+	s, lists, words := listed(t, "a")
+	s.SetFaults(standin.ListFaults{Hang: true})
+	if text := next(t, words); !strings.Contains(text, "timeout") {
+		t.Fatal(text)
+	}
+	s.SetFaults(standin.ListFaults{})
+	s.Set(instances("a", "b"))
+	until(t, lists, "a b")
+}
+
+func TestServerThatForgotIsAskedFromTheStart(t *testing.T) {
+	s, lists, words := listed(t, "a", "b")
+	s.Reset(3)
+	if text := next(t, words); !strings.Contains(text, "fell") {
+		t.Fatal(text)
+	}
+	s.Set(instances("a", "b", "c"))
+	until(t, lists, "a b c")
+}
+
+func TestOldAndEmptyAnswersAreNotBelieved(t *testing.T) {
+	s, lists, _ := listed(t, "a", "b", "c", "d")
+	s.SetFaults(standin.ListFaults{Empty: true})
+	start := time.Now()
+	s.Set(instances("a", "b", "c", "d", "e"))
+	// The empty answer stands until its confirmation is due; the full one before that wins.
+	s.SetFaults(standin.ListFaults{})
+	if l := until(t, lists, "a b c d e"); l == nil || time.Since(start) > 15*time.Second {
+		t.Fatal("late")
+	}
+}
+
+func TestServerThatRestartsIsFoundAgain(t *testing.T) {
+	s, lists, words := listed(t, "a")
+	s.Stop()
+	next(t, words)
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	s.Set(instances("a", "z"))
+	until(t, lists, "a z")
+}
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -3,11 +3,11 @@
 
 import (
 	"fmt"
-	"sort"
 
 	"dillroute/api"
 	"dillroute/brain"
 	"dillroute/internal/config"
+	"dillroute/internal/decide/believe"
 )
 
 // Entry is one engine of a list file; api/list.schema.json describes it.
@@ -27,60 +27,67 @@
 	Engines []Entry `json:"engines"`
 }
 
-// List is a list that was understood.
+// List is a list as the node believes it.
 type List struct {
 	Engines   []brain.Engine
 	Addresses map[string]string // by id
+	Saved     bool              // known from an earlier run alone
 }
 
 var schema = config.MustSchema(api.ListSchema)
 
-// Parser turns list files into lists. Cells are numbered as they are first met, and keep their number.
+// Parser turns lists into entries. Cells are numbered as they are first met, and keep their number.
 type Parser struct {
 	Config *config.Config
 	cells  map[string]int
 }
 
-// Parse reads a whole list. All that is wrong is told at once, and then nothing of it is taken.
-func (p *Parser) Parse(text []byte) (*List, error) {
+// Parse reads a whole list file. All that is wrong is told at once, and then nothing of it is taken.
+func (p *Parser) Parse(text []byte) ([]believe.Entry, error) {
 	var f File
 	if err := schema.Decode(text, &f); err != nil {
 		return nil, err
 	}
 	var ps config.Problems
-	l, ids := &List{Addresses: map[string]string{}}, map[string]int{}
+	out := []believe.Entry{}
 	for i, e := range f.Engines {
-		at := fmt.Sprintf("/engines/%d", i)
-		if first, twice := ids[e.ID]; twice {
-			ps = append(ps, config.Problem{Pointer: at + "/id", Text: fmt.Sprintf("%q is /engines/%d already", e.ID, first)})
+		n, bad := p.entry(e)
+		for _, b := range bad {
+			ps = append(ps, config.Problem{Pointer: fmt.Sprintf("/engines/%d%s", i, b.Pointer), Text: b.Text})
 		}
-		ids[e.ID] = i
-		kind, ok := p.Config.KindIndex(e.Kind)
-		if !ok {
-			ps = append(ps, config.Problem{Pointer: at + "/kind", Text: fmt.Sprintf("no kind is named %q", e.Kind)})
-		}
-		zone, ok := p.zone(e.Zone)
-		if !ok {
-			ps = append(ps, config.Problem{Pointer: at + "/zone", Text: fmt.Sprintf("%q is not one of the node's zones", e.Zone)})
-		}
-		n := brain.Engine{ID: e.ID, Kind: kind, Zone: zone, Weight: 1, BootTime: e.BootTime}
-		if e.Weight != nil {
-			n.Weight = *e.Weight
-		}
-		if e.State == "draining" {
-			n.State = brain.Draining
-		}
-		l.Engines = append(l.Engines, n)
-		l.Addresses[e.ID] = e.Address
+		out = append(out, n)
 	}
 	if len(ps) > 0 {
 		return nil, ps
 	}
 	for i, e := range f.Engines {
-		l.Engines[i].Cell = p.cell(e.Cell)
+		out[i].Cell = p.cell(e.Cell)
+	}
+	return out, nil
+}
+
+// entry reads one engine; its cell is numbered by the caller, once the list is known to be good.
+func (p *Parser) entry(e Entry) (believe.Entry, config.Problems) {
+	var ps config.Problems
+	kind, ok := p.Config.KindIndex(e.Kind)
+	if !ok {
+		ps = append(ps, config.Problem{Pointer: "/kind", Text: fmt.Sprintf("no kind is named %q", e.Kind)})
 	}
-	sort.Slice(l.Engines, func(i, j int) bool { return l.Engines[i].ID < l.Engines[j].ID })
-	return l, nil
+	zone, ok := p.zone(e.Zone)
+	if !ok {
+		ps = append(ps, config.Problem{Pointer: "/zone", Text: fmt.Sprintf("%q is not one of the node's zones", e.Zone)})
+	}
+	n := believe.Entry{ID: e.ID, Address: e.Address, Kind: kind, Zone: zone, Weight: 1, Boot: e.BootTime}
+	if len(ps) == 0 {
+		n.Role = int(p.Config.Brain().Kinds[kind].Role)
+	}
+	if e.Weight != nil {
+		n.Weight = *e.Weight
+	}
+	if e.State == "draining" {
+		n.State = believe.Draining
+	}
+	return n, ps
 }
 
 func (p *Parser) zone(name string) (int, bool) {
@@ -106,3 +113,13 @@
 	}
 	return n
 }
+
+// name returns the name of a cell's number.
+func (p *Parser) name(cell int) string {
+	for name, n := range p.cells {
+		if n == cell {
+			return name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/members/source.go
@@ -0,0 +1,199 @@
+package members
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"dillroute/brain"
+	"dillroute/internal/config"
+	"dillroute/internal/decide/believe"
+)
+
+// answer is what a source gave, or why it gave nothing.
+type answer struct {
+	list  believe.Answer
+	again bool // the source's index fell: it began anew
+	err   error
+}
+
+// source asks for lists until it is stopped.
+type source interface {
+	// run sends answers until stop closes. It returns only then.
+	run(answers chan<- answer, stop <-chan struct{})
+}
+
+// Follower follows a source and tells of each change of what is believed. Its believer belongs to its goroutine.
+type Follower struct {
+	cfg      *config.Config
+	believer *believe.Believer
+	src      source
+	parser   *Parser
+	saved    string // file in which the believed list is kept; "" = none
+	take     func(*List)
+	complain func(string)
+	stop     chan struct{}
+	done     chan struct{}
+	broken   string
+}
+
+// FollowOptions say where lists come from and who is told.
+type FollowOptions struct {
+	Config   *config.Config
+	Saved    string         // file of the last believed list, read at the start; "" = none
+	Take     func(*List)    // a new belief; called on the follower's goroutine
+	Complain func(string)   // why something was not believed, once for each cause
+	Draw     func() float64 // chance for the spread of calls; nil = the system's
+}
+
+// Follow starts following. Where nothing was saved, a list file that cannot be read is an error; a list server that
+// does not answer is waited for.
+func Follow(o FollowOptions) (*Follower, error) {
+	f := &Follower{cfg: o.Config, believer: believe.New(believe.Defaults), saved: o.Saved, take: o.Take, complain: o.Complain,
+		stop: make(chan struct{}), done: make(chan struct{})}
+	if o.Draw == nil {
+		o.Draw = rand.Float64
+	}
+	parser := &Parser{Config: o.Config}
+	f.parser = parser
+	f.restore(parser)
+	e := o.Config.Engines
+	if e.Consul != "" {
+		f.src = &consul{address: e.Consul, service: e.Service, wait: seconds(e.Wait), parser: parser, asker: believe.NewAsker(o.Draw)}
+	} else {
+		w := &file{path: e.File, poll: seconds(e.Poll), parser: parser}
+		list, _, err := w.read()
+		if err != nil && len(f.believer.Believed(0).Entries) == 0 {
+			return nil, err
+		}
+		f.src = w
+		f.hear(answer{list: list, err: err})
+	}
+	go f.run()
+	return f, nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func unix() float64 { return float64(time.Now().UnixNano()) / 1e9 }
+
+// Close stops the follower.
+func (f *Follower) Close() {
+	close(f.stop)
+	<-f.done
+}
+
+func (f *Follower) run() {
+	defer close(f.done)
+	answers, ended := make(chan answer), make(chan struct{})
+	go func() { defer close(ended); f.src.run(answers, f.stop) }()
+	defer func() { <-ended }()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		wait := time.Hour
+		if at, ok := f.believer.Next(); ok {
+			wait = max(0, seconds(at-unix()))
+		}
+		timer.Reset(wait)
+		select {
+		case <-f.stop:
+			return
+		case a := <-answers:
+			f.hear(a)
+		case <-timer.C:
+			now := unix()
+			if f.believer.Tick(now) {
+				f.tell(now)
+			}
+		}
+	}
+}
+
+// hear files an answer and tells of a change.
+func (f *Follower) hear(a answer) {
+	now := unix()
+	if a.err != nil {
+		if text := a.err.Error(); text != f.broken {
+			f.broken = text
+			f.complain("engine list not taken, the last one stays: " + text)
+		}
+		return
+	}
+	f.broken = ""
+	if a.again {
+		f.believer.Fell()
+	}
+	if f.believer.Hear(now, a.list) {
+		f.tell(now)
+	}
+	for _, n := range f.believer.Notes() {
+		f.complain(n.Text)
+	}
+}
+
+// tell hands the belief on, and saves it.
+func (f *Follower) tell(now float64) {
+	b := f.believer.Believed(now)
+	l := &List{Addresses: map[string]string{}, Saved: b.Saved}
+	for _, e := range b.Entries {
+		n := brain.Engine{ID: e.ID, Kind: e.Kind, Cell: e.Cell, Zone: e.Zone, Weight: e.Weight, BootTime: e.Boot}
+		if e.State == believe.Draining {
+			n.State = brain.Draining
+		}
+		l.Engines = append(l.Engines, n)
+		l.Addresses[e.ID] = e.Address
+	}
+	f.take(l)
+	if f.saved != "" && !b.Saved {
+		if err := f.save(b); err != nil {
+			f.complain("the engine list is not saved: " + err.Error())
+		}
+	}
+}
+
+// restore reads the list that an earlier run saved. One that cannot be read is no reason not to start.
+func (f *Follower) restore(parser *Parser) {
+	if f.saved == "" {
+		return
+	}
+	text, err := os.ReadFile(f.saved)
+	if errors.Is(err, os.ErrNotExist) {
+		return
+	}
+	var entries []believe.Entry
+	if err == nil {
+		entries, err = parser.Parse(text)
+	}
+	if err != nil {
+		f.complain(fmt.Sprintf("saved engine list not used: %s: %v", f.saved, err))
+		return
+	}
+	now := unix()
+	f.believer.Restore(now, entries)
+	f.tell(now)
+}
+
+// save writes the belief as a list file.
+func (f *Follower) save(b believe.Belief) error {
+	out := File{Engines: []Entry{}}
+	for _, e := range b.Entries {
+		weight := e.Weight
+		n := Entry{ID: e.ID, Address: e.Address, Kind: f.cfg.Kinds[e.Kind].Name, Cell: f.parser.name(e.Cell), Weight: &weight, BootTime: e.Boot}
+		if e.Zone < len(f.cfg.Zones) {
+			n.Zone = f.cfg.Zones[e.Zone]
+		}
+		if e.State == believe.Draining {
+			n.State = "draining"
+		}
+		out.Engines = append(out.Engines, n)
+	}
+	text, err := json.Marshal(out)
+	if err != nil {
+		return err
+	}
+	return Replace(f.saved, text)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,7 +34,7 @@
 	engines *engine.Client
 	server  *http1.Server
 	admin   *http1.Server
-	watcher *members.Watcher
+	lists   *members.Follower
 	addr    net.Addr
 	aaddr   net.Addr
 	prefix  string // of request ids: no two starts of a node make the same
@@ -100,10 +101,8 @@
 	if err := n.listen(cfg, o.listener); err != nil {
 		return nil, err
 	}
-	parser := &members.Parser{Config: cfg}
-	n.watcher, err = members.Watch(cfg.Engines.File, seconds(cfg.Engines.Poll), parser, n.takeList, func(err error) {
-		n.log.Error("engine list not taken, the last one stays", "error", err.Error())
-	})
+	n.lists, err = members.Follow(members.FollowOptions{Config: cfg, Saved: savedList(cfg), Take: n.takeList,
+		Complain: func(text string) { n.log.Error("engine list", "text", text) }})
 	if err != nil {
 		n.server.Close()
 		if n.admin != nil {
@@ -123,6 +122,14 @@
 		Slack: cfg.Rules.AnswerSlack, DrainGrace: cfg.Rules.DrainGrace}
 }
 
+// savedList is where the last believed list is kept; "" = nowhere.
+func savedList(cfg *config.Config) string {
+	if cfg.StateDir == "" {
+		return ""
+	}
+	return filepath.Join(cfg.StateDir, "engines.json")
+}
+
 // go_ runs a loop that Stop waits for.
 func (n *Node) go_(f func()) {
 	n.loops.Add(1)
@@ -170,7 +177,7 @@
 
 // takeList hands a list to the owner.
 func (n *Node) takeList(l *members.List) {
-	n.log.Info("engine list taken", "engines", len(l.Engines))
+	n.log.Info("engine list taken", "engines", len(l.Engines), "saved", l.Saved)
 	n.core.post(func(now float64) {
 		for id, a := range l.Addresses {
 			n.addresses[id] = a
@@ -285,9 +292,7 @@
 
 func (n *Node) end() {
 	n.server.Drain()
-	if n.watcher != nil {
-		n.watcher.Close()
-	}
+	n.lists.Close()
 	n.core.post(func(now float64) {
 		for _, c := range n.calls {
 			for _, a := range c.attempts {
