--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -7,11 +7,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -181,3 +184,125 @@
 		t.Errorf("the log does not say that /listen needs a restart:\n%s", logs)
 	}
 }
+
+// A node is replaced while clients ask on and on: the socket belongs to the manager, here the test, and every request
+// is served by the old node or by the new one.
+func TestRollingRestartLosesNothing(t *testing.T) {
+	dir := t.TempDir()
+	f := fleet.New(demoFleet(), nil)
+	if err := f.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer f.Stop()
+	if err := f.Publish(f.List(), "n", filepath.Join(dir, "list.json")); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := demoConfig("127.0.0.1:0", "list.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _ := json.Marshal(cfg)
+	var m map[string]any
+	json.Unmarshal(text, &m)
+	for _, k := range []string{"admin", "zones", "match"} {
+		delete(m, k)
+	}
+	m["node"], m["state_dir"], m["engines"] = map[string]any{"name": "n"}, "state", map[string]any{"file": "list.json"}
+	m["tenants"] = []any{map[string]any{"name": "t", "keys": []string{demoKey}}}
+	text, _ = json.Marshal(m)
+	file := filepath.Join(dir, "node.json")
+	if err := os.WriteFile(file, text, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	socket, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	start := func() (*exec.Cmd, *bufio.Scanner) {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		t.Cleanup(cancel)
+		cmd := exec.CommandContext(ctx, "/bin/sh", "-c", `LISTEN_PID=$$ exec "$0" serve --config "$1" --takeover 30s`, os.Args[0], file)
+		cmd.Env = append(os.Environ(), "DILLROUTE_AS_PROGRAM=1", "LISTEN_FDS=1", "LISTEN_FDNAMES=client")
+		cmd.ExtraFiles = []*os.File{socket}
+		out, err := cmd.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		return cmd, bufio.NewScanner(out)
+	}
+	old, out := start()
+	line(t, out, "listening on ")
+	url := "http://" + l.Addr().String()
+	stop, failed := make(chan struct{}), make(chan string, 100)
+	var clients sync.WaitGroup
+	var served atomic.Int64
+	for range 4 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			tr := &http.Transport{DisableKeepAlives: true} // each request is a connection
+			c := &http.Client{Transport: tr}
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				q, _ := http.NewRequest("POST", url+"/v1/chat/completions",
+					strings.NewReader(`{"model":"roster-commit","stream":true,"max_tokens":4,"messages":[{"role":"user","content":"Who?"}]}`))
+				q.Header.Set("Authorization", "Bearer "+demoKey)
+				resp, err := c.Do(q)
+				if err != nil {
+					failed <- err.Error()
+					return
+				}
+				text, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if err != nil || !strings.Contains(string(text), "[DONE]") {
+					failed <- fmt.Sprint(resp.Status, string(text), err)
+					return
+				}
+				served.Add(1)
+			}
+		}()
+	}
+	wait := func(n int64) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); served.Load() < n && time.Now().Before(end); {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	for range 2 {
+		wait(served.Load() + 10)
+		next, out := start()
+		old.Process.Signal(syscall.SIGTERM)
+		line(t, out, "listening on ")
+		if err := old.Wait(); err != nil {
+			t.Fatal(err)
+		}
+		wait(served.Load() + 10)
+		old = next
+	}
+	close(stop)
+	clients.Wait()
+	old.Process.Signal(syscall.SIGTERM)
+	old.Wait()
+	select {
+	case why := <-failed:
+		t.Fatalf("after %d served: %s", served.Load(), why)
+	default:
+	}
+	if served.Load() < 40 {
+		t.Fatalf("only %d were served", served.Load())
+	}
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -11,12 +11,14 @@
 
 	"dillroute/internal/config"
 	"dillroute/internal/node"
+	"dillroute/internal/service"
 
 	"github.com/spf13/cobra"
 )
 
 func serveCommand() *cobra.Command {
 	var file string
+	var takeover time.Duration
 	c := &cobra.Command{
 		Use:   "serve --config FILE",
 		Short: "Run a node",
@@ -24,16 +26,21 @@
 limits.shutdown_s at most; a second one answers what is held at once. SIGHUP reads the configuration again and
 logs what was taken and what needs a restart.
 
+Sockets handed over by a service manager (LISTEN_FDS, names client and admin) are used in place of listen and admin, and
+readiness is told to it (sd_notify). With state_dir, one process at a time holds that folder; --takeover waits for a predecessor,
+which lets go of it as soon as it is told to stop.
+
 ` + exitCodesDoc,
-		Example: "  dillroute serve --config examples/node.json",
+		Example: "  dillroute serve --config examples/node.json\n  dillroute serve --config examples/node.json --takeover 1m",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if file == "" {
 				return withCode(ExitUsage, fmt.Errorf("serve needs --config FILE"))
 			}
-			return serve(file, cmd.OutOrStdout(), cmd.ErrOrStderr())
+			return serve(file, takeover, cmd.OutOrStdout(), cmd.ErrOrStderr())
 		},
 	}
+	c.Flags().DurationVar(&takeover, "takeover", 0, "wait this long for a predecessor to let go of state_dir")
 	c.Flags().StringVar(&file, "config", "", "the node's configuration (JSON; see dillroute config schema)")
 	return c
 }
@@ -52,7 +59,7 @@
 	level.UnmarshalText([]byte(l.Level)) // the schema allows the four names alone
 }
 
-func serve(file string, out, errOut io.Writer) error {
+func serve(file string, takeover time.Duration, out, errOut io.Writer) error {
 	cfg, err := config.Load(file)
 	if err != nil {
 		return withCode(ExitConfig, err)
@@ -61,10 +68,26 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	n, err := node.Start(cfg, node.WithLogger(log))
+	letGo := func() {}
+	if cfg.StateDir != "" {
+		state, err := service.Take(cfg.StateDir, takeover)
+		if err != nil {
+			return withCode(ExitRun, fmt.Errorf("/state_dir: %w", err))
+		}
+		letGo = func() { state.Release() }
+	}
+	defer letGo()
+	client, admin, err := service.Handed()
+	if err != nil {
+		return withCode(ExitRun, err)
+	}
+	n, err := node.Start(cfg, node.WithLogger(log), node.WithListener(client), node.WithAdminListener(admin))
 	if err != nil {
 		return withCode(ExitRun, err)
 	}
+	ended := make(chan struct{})
+	defer close(ended)
+	go tellReady(n, ended)
 	fmt.Fprintf(out, "listening on http://%s\n", n.Addr())
 	if n.Admin() != nil {
 		fmt.Fprintf(out, "admin on http://%s\n", n.Admin())
@@ -75,9 +98,14 @@
 		case failure = <-n.Failed():
 		case s := <-signals:
 			if s == syscall.SIGHUP {
+				service.Tell(service.Reloading)
 				reload(n, file, log, level)
+				service.Tell(service.Ready)
 				continue
 			}
+			service.Tell(service.Stopping)
+			n.KeepNoState()
+			letGo()
 			log.Info("stopping", "signal", s.String(), "held_s", n.Config().Limits.Shutdown)
 		}
 		break
@@ -100,6 +128,20 @@
 	}
 }
 
+// tellReady tells the service manager once the node may serve: with no engine listed it may not.
+func tellReady(n *node.Node, ended <-chan struct{}) {
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for !n.Ready() {
+		select {
+		case <-ended:
+			return
+		case <-tick.C:
+		}
+	}
+	service.Tell(service.Ready)
+}
+
 // reload takes what may change of the file, and says what may not.
 func reload(n *node.Node, file string, log *slog.Logger, level *slog.LevelVar) {
 	next, err := config.Load(file)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,7 @@
 // Config is a node's configuration; api/config.schema.json describes each field. Times are in seconds.
 type Config struct {
 	Listen        string   `json:"listen"`
+	ListenShared  bool     `json:"listen_shared"`
 	Admin         string   `json:"admin"`
 	Node          Node     `json:"node"`
 	Zones         []string `json:"zones"`
@@ -341,6 +342,7 @@
 	rest.MaxOpen, rest.Shutdown, rest.Stall = c.Limits.MaxOpen, c.Limits.Shutdown, c.Limits.Stall
 	refuse("/limits", c.Limits, rest)
 	refuse("/listen", c.Listen, next.Listen)
+	refuse("/listen_shared", c.ListenShared, next.ListenShared)
 	refuse("/admin", c.Admin, next.Admin)
 	refuse("/node", c.Node, next.Node)
 	refuse("/zones", c.Zones, next.Zones)
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -39,6 +39,9 @@
 	Times    Times
 	MaxConns int   // open at once; further ones are answered 503 and closed; 0 = no bound
 	MaxBytes int64 // of request bodies held at once, over all connections; 0 = no bound
+	// Shared tells that other processes accept from the very same socket: what waits in its queue is theirs, so a
+	// drain stops accepting at once.
+	Shared bool
 	// Fault writes the body of an answer to a request that could not be parsed; nil = plain text.
 	Fault func(status int, reason string) (fields []Field, body []byte)
 
@@ -126,7 +129,7 @@
 	s.draining.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok {
+	if l, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok && !s.Shared {
 		l.SetDeadline(time.Now().Add(drainAccept))
 	} else if s.listener != nil {
 		s.listener.Close()
@@ -138,10 +141,12 @@
 	}
 }
 
-// How long a draining server goes on accepting, and reading idle connections.
+// How long a draining server goes on accepting, and reading idle connections. DrainTakes is after which no request can
+// come that was under way when the drain began.
 const (
 	drainAccept = 50 * time.Millisecond
 	drainIdle   = 200 * time.Millisecond
+	DrainTakes  = drainAccept + drainIdle
 )
 
 // Wait waits until all connections have ended, or the time has passed; it tells whether they have.
--- a/internal/members/source.go
+++ b/internal/members/source.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"dillroute/brain"
@@ -38,6 +39,7 @@
 	stop     chan struct{}
 	done     chan struct{}
 	broken   string
+	keeps    atomic.Bool
 }
 
 // FollowOptions say where lists come from and who is told.
@@ -54,6 +56,7 @@
 func Follow(o FollowOptions) (*Follower, error) {
 	f := &Follower{cfg: o.Config, believer: believe.New(believe.Defaults), saved: o.Saved, take: o.Take, complain: o.Complain,
 		stop: make(chan struct{}), done: make(chan struct{})}
+	f.keeps.Store(true)
 	if o.Draw == nil {
 		o.Draw = rand.Float64
 	}
@@ -80,6 +83,9 @@
 
 func unix() float64 { return float64(time.Now().UnixNano()) / 1e9 }
 
+// Keep says whether a new belief is saved.
+func (f *Follower) Keep(on bool) { f.keeps.Store(on) }
+
 // Close stops the follower.
 func (f *Follower) Close() {
 	close(f.stop)
@@ -148,7 +154,7 @@
 		l.Addresses[e.ID] = e.Address
 	}
 	f.take(l)
-	if f.saved != "" && !b.Saved {
+	if f.saved != "" && !b.Saved && f.keeps.Load() {
 		if err := f.save(b); err != nil {
 			f.complain("the engine list is not saved: " + err.Error())
 		}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -44,7 +44,7 @@
 	case x.Path == "/healthz":
 		x.Reply(200, text, []byte("alive\n"))
 	case x.Path == "/readyz":
-		if n.ask(func() int { return boolInt(n.core.book.Ready()) }) == 0 {
+		if !n.Ready() {
 			x.Reply(503, text, []byte("not ready: draining, or no engine is listed\n"))
 			return
 		}
@@ -56,13 +56,6 @@
 	}
 }
 
-func boolInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // exposition writes the metrics as Prometheus reads them.
 func (n *Node) exposition() []byte {
 	var b bytes.Buffer
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"dillroute/internal/front"
 	"dillroute/internal/http1"
 	"dillroute/internal/members"
+	"dillroute/internal/service"
 	"dillroute/internal/wheel"
 )
 
@@ -66,6 +67,7 @@
 	log      *slog.Logger
 	seed     uint64
 	listener net.Listener
+	admin    net.Listener
 }
 
 // WithLogger sets where the node logs.
@@ -77,6 +79,9 @@
 // WithListener serves clients on a listener that is open already.
 func WithListener(l net.Listener) Option { return func(o *options) { o.listener = l } }
 
+// WithAdminListener serves the admin paths on a listener that is open already.
+func WithAdminListener(l net.Listener) Option { return func(o *options) { o.admin = l } }
+
 // Start starts a node. The engine list must be readable.
 func Start(cfg *config.Config, opts ...Option) (*Node, error) {
 	o := options{log: slog.Default(), seed: rand.Uint64()}
@@ -98,7 +103,7 @@
 		Stall: func() time.Duration { return seconds(n.view.Load().cfg.Limits.Stall) }, MaxEvent: cfg.Limits.MaxEvent,
 		Pool: &http1.Pool{MaxIdle: cfg.Limits.EngineIdleConns, Idle: seconds(cfg.Limits.EngineIdle),
 			Limits: http1.DefaultLimits}}
-	if err := n.listen(cfg, o.listener); err != nil {
+	if err := n.listen(cfg, o.listener, o.admin); err != nil {
 		return nil, err
 	}
 	n.lists, err = members.Follow(members.FollowOptions{Config: cfg, Saved: savedList(cfg), Take: n.takeList,
@@ -137,26 +142,28 @@
 }
 
 // listen opens the sockets.
-func (n *Node) listen(cfg *config.Config, l net.Listener) error {
+func (n *Node) listen(cfg *config.Config, l, al net.Listener) error {
 	var err error
+	handed := l != nil
 	if l == nil {
-		if l, err = net.Listen("tcp", cfg.Listen); err != nil {
+		if l, err = service.Listen(cfg.Listen, cfg.ListenShared); err != nil {
 			return fmt.Errorf("/listen: %w", err)
 		}
 	}
 	lim := http1.DefaultLimits
 	lim.Body = cfg.Limits.MaxBody
 	n.addr = l.Addr()
-	n.server = &http1.Server{Handler: http1.HandlerFunc(n.serve), Limits: lim, MaxConns: cfg.Limits.MaxConnections,
+	n.server = &http1.Server{Shared: handed, Handler: http1.HandlerFunc(n.serve), Limits: lim, MaxConns: cfg.Limits.MaxConnections,
 		MaxBytes: cfg.Limits.MaxHeld, Fault: fault,
 		Times: http1.Times{Head: seconds(cfg.Limits.Head), Body: seconds(cfg.Limits.Body), Idle: seconds(cfg.Limits.Idle),
 			Write: seconds(cfg.Limits.Write)}}
-	if cfg.Admin != "" {
-		al, err := net.Listen("tcp", cfg.Admin)
-		if err != nil {
+	if al == nil && cfg.Admin != "" {
+		if al, err = service.Listen(cfg.Admin, cfg.ListenShared); err != nil {
 			l.Close()
 			return fmt.Errorf("/admin: %w", err)
 		}
+	}
+	if al != nil {
 		n.aaddr = al.Addr()
 		n.admin = &http1.Server{Handler: http1.HandlerFunc(n.serveAdmin), Limits: http1.DefaultLimits,
 			Times: http1.DefaultTimes, MaxConns: 100, MaxBytes: 1 << 20}
@@ -211,6 +218,16 @@
 	return taken, refused
 }
 
+// Ready tells whether the node may be sent requests.
+func (n *Node) Ready() bool {
+	return n.ask(func() int {
+		if n.core.book.Ready() {
+			return 1
+		}
+		return 0
+	}) == 1
+}
+
 // Config returns the settings in force.
 func (n *Node) Config() *config.Config { return n.view.Load().cfg }
 
@@ -244,9 +261,12 @@
 // Shutdown stops taking requests, lets held ones go on for the time given, answers the rest as refused or failed,
 // and stops the node.
 func (n *Node) Shutdown(wait time.Duration) {
+	deadline := time.Now().Add(wait)
 	n.server.Drain()
+	for end := time.Now().Add(http1.DrainTakes); time.Now().Before(earlier(end, deadline)) && !n.hurry.Load(); {
+		time.Sleep(5 * time.Millisecond) // what was on its way is still taken
+	}
 	n.core.post(func(now float64) { n.core.book.Close() })
-	deadline := time.Now().Add(wait)
 	for time.Now().Before(deadline) && !n.hurry.Load() && n.Live() > 0 {
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -260,6 +280,17 @@
 	n.Stop()
 }
 
+// earlier returns the earlier time.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// KeepNoState stops the writing of the state directory, so that a successor can hold it.
+func (n *Node) KeepNoState() { n.lists.Keep(false) }
+
 // Hurry makes a Shutdown that waits give its last answers now.
 func (n *Node) Hurry() { n.hurry.Store(true) }
 
