--- a/brain/brain.go
+++ b/brain/brain.go
@@ -625,7 +625,7 @@
 			room -= 100 // overfull ones last of all
 		}
 		if from.Cell != e.Cell {
-			room -= 10 // another cell only when none passes in this one
+			room -= r.farCost(q, from, e, left)
 		}
 		if from.Zone != e.Zone {
 			room -= 0.5
@@ -638,6 +638,13 @@
 	return best
 }
 
+// farCost is how much more room a writer in another cell must have than the best of this one.
+func (r *Router) farCost(q *request, from, e *engine, left float64) float64 {
+	known := r.freshness(e)
+	cost := 10*r.cfg.Prices.Transfer + r.moveTime(q, from, e)/max(left, r.cfg.Tick)
+	return cost + 10*known*known
+}
+
 // readers returns the usable readers in weighted rendezvous order of the shared beginning, else the session,
 // the same at all routers. A hot beginning has homes by its part of our arrivals; sessions share them.
 func (r *Router) readers(q *request) []*engine {
