--- a/brain/brain.go
+++ b/brain/brain.go
@@ -62,6 +62,9 @@
 	perUtil     = 100  // streams that a full writer is taken to hold where only shares are reported
 	tieSpread   = 0.2  // room by which writers known from old reports alone are drawn apart
 	probeBudget = 5e-3 // points of the result that routine probes may cost
+	farKnown    = 10   // room that a writer in another cell must have more where its report is fresh,
+	farPower    = 4    // which fades with this power of freshness: in about a second,
+	farPrice    = 10   // and room for each point that moving all tokens would cost
 	farReserve  = 0.1  // share of the time left that a move must take for a place to be reserved
 	shareSlack  = 2.0  // s of its share that a tenant may save up,
 	shareLeast  = 4    // and whole requests at least
@@ -638,11 +641,13 @@
 	return best
 }
 
-// farCost is how much more room a writer in another cell must have than the best of this one.
+// farCost is how much more room a writer in another cell must have than the best of this one. Where its
+// report is fresh the tests tell a full cell, and another is for when none passes in this. A router of many
+// hears of a writer seldom and sees room in a cell that others fill: there the move's price and part of the
+// time left decide.
 func (r *Router) farCost(q *request, from, e *engine, left float64) float64 {
-	known := r.freshness(e)
-	cost := 10*r.cfg.Prices.Transfer + r.moveTime(q, from, e)/max(left, r.cfg.Tick)
-	return cost + 10*known*known
+	cost := farPrice*r.cfg.Prices.Transfer + r.moveTime(q, from, e)/max(left, r.cfg.Tick)
+	return cost + farKnown*math.Pow(r.freshness(e), farPower)
 }
 
 // readers returns the usable readers in weighted rendezvous order of the shared beginning, else the session,
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -602,6 +602,28 @@
 	}
 }
 
+// A router that hears of writers seldom leaves a cell whose writer has less room; one that hears often leaves it only
+// when no writer there passes.
+func TestFullCellIsLeftWhereReportsAreOld(t *testing.T) {
+	report := func(share float64) *Report { return &Report{MemShare: share, Has: HasMemShare} }
+	for age, want := range map[float64]string{0.1: "w0", 8: "w1"} {
+		cfg := testConfig()
+		cfg.Report, cfg.Prices.Transfer = ReportInline, 0.03
+		r := start(t, cfg, fleet())
+		q := &request{Request: ask("q", 0), class: &r.cfg.Classes[0]}
+		r.Step(1, []Event{Probed{Engine: "w0", Status: Served, Report: report(0.85)}, Probed{Engine: "w1", Status: Served, Report: report(0.05)}})
+		r.kinds[1].mem.v = 0.4 // of all that were heard of lately
+		r.engines["w0"].reportAt, r.engines["w1"].reportAt = 1, 1
+		r.now = 1 + age
+		if age > 1 { // the near one tells now, the far one told long ago
+			r.engines["w0"].reportAt = r.now
+		}
+		if w := r.bestWriter(q, r.engines["r0"], 1, false); w == nil || w.ID != want {
+			t.Errorf("reports %.1f s old: %v, want %s", age, w, want)
+		}
+	}
+}
+
 func TestLostPrefixesAreReadAnew(t *testing.T) {
 	r := start(t, testConfig(), fleet())
 	e := r.engines["r0"]
--- /dev/null
+++ b/internal/cli/fleet.go
@@ -0,0 +1,176 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"dillroute/lab/badday"
+
+	"github.com/spf13/cobra"
+)
+
+func fleetCommand() *cobra.Command {
+	p := badday.FleetPlan{Nodes: 60, Engines: 24, PerS: 100, Length: 60, Restarts: 1, Churn: 0.1, Notice: 0.5, Roll: true, Seed: 1}
+	var processes bool
+	var report string
+	c := &cobra.Command{
+		Use:   "fleet",
+		Short: "Run many nodes that share nothing, restart them at random and judge the rules over all of them",
+		Long: `Run a fleet of nodes before stand-in engines, with a front layer that goes on sending to a dead node for a while. Nodes are
+killed and restarted at random by the seed, engines die and come back cold, the list is late, and at the end all nodes restart
+within a second. The rules are judged over all nodes together as the run goes on; memory does not grow with its length. Nodes
+run within this process, or with --processes each in one of its own.
+
+` + exitCodesDoc,
+		Example: "  dillroute fleet\n  dillroute fleet --nodes 300 --engines 40 --rate 150 --seconds 1200 --report fleet.json\n  dillroute fleet --processes --nodes 20",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runFleet(p, processes, report, cmd.OutOrStdout())
+		},
+	}
+	f := c.Flags()
+	f.IntVar(&p.Nodes, "nodes", p.Nodes, "nodes")
+	f.IntVar(&p.Engines, "engines", p.Engines, "stand-in engines")
+	f.Float64Var(&p.PerS, "rate", p.PerS, "requests a second")
+	f.Float64Var(&p.Length, "seconds", p.Length, "length of the run")
+	f.Float64Var(&p.Restarts, "restarts", p.Restarts, "nodes killed and restarted a second")
+	f.Float64Var(&p.Churn, "churn", p.Churn, "engines that die and come back cold a second")
+	f.Float64Var(&p.Notice, "notice", p.Notice, "seconds by which the list is late")
+	f.BoolVar(&p.Roll, "roll", p.Roll, "restart all nodes within a second near the end")
+	f.Uint64Var(&p.Seed, "seed", p.Seed, "seed of load, restarts and engines")
+	f.BoolVar(&processes, "processes", false, "run each node in a process of its own")
+	f.StringVar(&report, "report", "", "write the report as JSON to this file")
+	return c
+}
+
+func runFleet(p badday.FleetPlan, processes bool, report string, out io.Writer) error {
+	if p.Nodes < 1 || p.Engines < 3 || p.Length < 5 {
+		return withCode(ExitUsage, fmt.Errorf("a fleet has 1 node, 3 engines and 5 seconds at least"))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	o := badday.Options{Launch: launcher(io.Discard), Skew: 0.5, Progress: func(q badday.Progress) {
+		fmt.Fprintf(out, "\r%5.0f of %.0f s  %d nodes up, %d starts  %d served in time of %d  cold budget %.0f%%  %d breaches   ",
+			q.T, q.Length, q.Up, q.Starts, q.InTime, q.Ended, 100*q.Cold, q.Broken)
+	}}
+	if processes {
+		dir, err := os.MkdirTemp("", "dillroute-fleet-")
+		if err != nil {
+			return withCode(ExitRun, err)
+		}
+		defer os.RemoveAll(dir)
+		o.Launch = processLauncher(dir)
+	}
+	r, err := badday.Run(ctx, p.Script(), o)
+	fmt.Fprintln(out)
+	if err != nil {
+		return withCode(ExitRun, err)
+	}
+	r.Print(out)
+	fmt.Fprintf(out, "\n%d starts of nodes, ready after %.0f ms at the 99th percentile\n", r.Starts, 1000*r.ReadyP99)
+	fmt.Fprintf(out, "sends to a cold engine: at most %.0f%% of its budget in any window\nJain's index of work over engines:", 100*r.Cold.Share)
+	for _, kind := range []string{"prefill", "decode", "mixed"} {
+		fmt.Fprintf(out, " %s %.3f", kind, r.Fairness[kind])
+	}
+	fmt.Fprintf(out, "\nresident memory: %.1f MiB, stand-ins and clients included\n", float64(residentSelf())/(1<<20))
+	if report != "" {
+		b, err := r.JSON()
+		if err == nil {
+			err = os.WriteFile(report, append(b, '\n'), 0o644)
+		}
+		if err != nil {
+			return withCode(ExitRun, err)
+		}
+	}
+	if r.Broken > 0 {
+		return withCode(ExitRules, fmt.Errorf("%d breaches of the rules", r.Broken))
+	}
+	return nil
+}
+
+// residentSelf reads this process' resident bytes.
+func residentSelf() int64 {
+	text, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	var size, resident int64
+	fmt.Sscan(string(text), &size, &resident)
+	return resident * int64(os.Getpagesize())
+}
+
+// process is a node in a process of its own.
+type process struct {
+	cmd    *exec.Cmd
+	addr   net.Addr
+	admin  string
+	client *http.Client
+}
+
+// processLauncher starts nodes as processes of this program.
+func processLauncher(dir string) badday.Launch {
+	return func(name string, text []byte) (badday.Node, error) {
+		var m map[string]any
+		if err := json.Unmarshal(text, &m); err != nil {
+			return nil, err
+		}
+		m["admin"], m["state_dir"], m["log"] = "127.0.0.1:0", filepath.Join(dir, name), map[string]any{"level": "error"}
+		b, err := json.Marshal(m)
+		if err != nil {
+			return nil, err
+		}
+		file := filepath.Join(dir, name+".json")
+		if err := os.WriteFile(file, b, 0o644); err != nil {
+			return nil, err
+		}
+		cmd, addresses, err := child(context.Background(), 2, "serve", "--config", file)
+		if err != nil {
+			return nil, err
+		}
+		addr, err := net.ResolveTCPAddr("tcp", addresses[0])
+		if err != nil {
+			return nil, err
+		}
+		return &process{cmd, addr, addresses[1], &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}}, nil
+	}
+}
+
+func (p *process) Addr() net.Addr { return p.addr }
+
+func (p *process) Ready() bool {
+	resp, err := p.client.Get("http://" + p.admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == 200
+}
+
+// Stop kills the process.
+func (p *process) Stop() {
+	p.cmd.Process.Kill()
+	p.cmd.Wait()
+}
+
+// Shutdown ends it in good order.
+func (p *process) Shutdown(wait time.Duration) {
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	ended := make(chan struct{})
+	go func() { p.cmd.Wait(); close(ended) }()
+	select {
+	case <-ended:
+	case <-time.After(wait + 5*time.Second):
+		p.cmd.Process.Kill()
+		<-ended
+	}
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -65,7 +65,7 @@
 		SilenceErrors: true,
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(serveCommand(), engineCommand(), demoCommand(), baddayCommand(), overheadCommand(), configCommand(), versionCommand())
+	root.AddCommand(serveCommand(), engineCommand(), demoCommand(), baddayCommand(), fleetCommand(), overheadCommand(), configCommand(), versionCommand())
 	return root
 }
 
--- a/internal/members/file.go
+++ b/internal/members/file.go
@@ -19,6 +19,7 @@
 	poll   time.Duration
 	parser *Parser
 	last   []byte
+	seen   os.FileInfo
 }
 
 // maxList bounds the bytes of a list.
@@ -67,6 +68,9 @@
 	if err != nil {
 		return list, false, err
 	}
+	if w.seen != nil && os.SameFile(w.seen, info) && w.seen.ModTime().Equal(info.ModTime()) && w.seen.Size() == info.Size() {
+		return list, false, nil // most polls end here
+	}
 	if info.Size() > maxList {
 		return list, false, fmt.Errorf("%s: %d bytes exceed the %d that a list may have", w.path, info.Size(), maxList)
 	}
@@ -81,7 +85,7 @@
 	if err != nil {
 		return list, false, fmt.Errorf("%s:\n%w", w.path, err)
 	}
-	w.last = text
+	w.last, w.seen = text, info
 	return believe.Answer{Entries: entries}, true, nil
 }
 
--- a/lab/badday/trouble.go
+++ b/lab/badday/trouble.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"path"
 	"slices"
 	"sync"
@@ -39,6 +40,8 @@
 		"give_up":         (*day).gives,
 		"discovery_stale": (*day).stale,
 		"balancer_roll":   (*day).roll,
+		"restarts":        (*day).restarts,
+		"churn":           (*day).churn,
 	}
 }
 
@@ -253,3 +256,62 @@
 	}
 	return nil
 }
+
+// restarts kills and restarts single nodes at random: Size of them a second, each down for Extra seconds.
+func (d *day) restarts(t Trouble) func() {
+	rng := rand.New(rand.NewPCG(d.s.Seed, 77))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for at := t.At; ; {
+		at += rng.ExpFloat64() / cmp.Or(t.Size, 0.5)
+		s := d.nodes[rng.IntN(len(d.nodes))]
+		if at > t.At+t.Len || !d.sleep(at) {
+			return nil
+		}
+		d.mu.Lock()
+		busy := s.restarting || s.node == nil
+		s.restarting = true
+		d.mu.Unlock()
+		if busy {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			d.kill(s)
+			time.Sleep(seconds(cmp.Or(t.Extra, 0.3)))
+			if err := d.launch(s); err != nil {
+				fmt.Fprintln(d.o.Out, s.name, "does not come back:", err)
+			}
+			d.mu.Lock()
+			s.restarting = false
+			d.mu.Unlock()
+		}()
+	}
+}
+
+// churn kills single engines at random, Size of them a second, and brings each back cold after Extra seconds. The list
+// tells of both, late.
+func (d *day) churn(t Trouble) func() {
+	rng := rand.New(rand.NewPCG(d.s.Seed, 78))
+	xs := d.struck(Trouble{Engines: t.Engines, Part: 1}, 1)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for at := t.At; ; {
+		at += rng.ExpFloat64() / cmp.Or(t.Size, 0.1)
+		e := xs[rng.IntN(len(xs))]
+		if at > t.At+t.Len || !d.sleep(at) {
+			return nil
+		}
+		if _, up := e.Booted(); !up {
+			continue
+		}
+		mend := d.down([]*standin.Engine{e})
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			d.sleep(at + cmp.Or(t.Extra, 2))
+			mend()
+		}()
+	}
+}
--- a/lab/standin/job.go
+++ b/lab/standin/job.go
@@ -29,15 +29,15 @@
 }
 
 func (j *job) note(k record.Kind, note string) {
-	stage := "decode"
+	stage, work := "decode", float64(Length(j.digest, j.q.Mark, j.q.max()))
 	if j.prefill {
-		stage = "prefill"
+		stage, work = "prefill", float64(j.tokens)
 	}
 	if note != "" {
 		stage += " " + note
 	}
 	j.e.log.Add(record.Record{Kind: k, Engine: j.e.ID, Node: j.node, Op: j.q.Mark.Op, Try: j.q.Mark.Try,
-		Class: j.q.Mark.Class, State: j.id, Tokens: float64(j.tokens), Note: stage})
+		Class: j.q.Mark.Class, State: j.id, Tokens: float64(j.tokens), Work: work, Note: stage})
 }
 
 func (j *job) turn(status int, code, message string) {
