Hard cases of many nodes as tests: older lists, a cold engine before all, full table, full disk

Need: the hard cases of many instances are to be tests.

Change: half the nodes on a list three seconds older, with an engine that drained, one that died and one that changed its role only on the new one; a cold engine before twenty nodes at once, its budget judged in every window; sixty nodes restarting within a second; a node under a limit of 60 open files and under a limit of no file blocks.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -306,3 +306,81 @@
 		t.Fatalf("only %d were served", served.Load())
 	}
 }
+
+// limited starts a node under a limit of the shell, before its engines.
+func limited(t *testing.T, limit string) (url string, stop func() string) {
+	t.Helper()
+	dir := t.TempDir()
+	f := fleet.New(demoFleet(), nil)
+	if err := f.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Publish(f.List(), "n", filepath.Join(dir, "list.json")); err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(dir, "node.json")
+	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","node":{"name":"n"},"kinds":[{"name":"prefill","role":"prefill"},{"name":"decode","role":"decode"},
+ {"name":"mixed","role":"mixed"}],"classes":[{"name":"c","effect":"once","aim_s":1,"patience_s":5,"token_aim_s":0.06}],
+ "models":[{"name":"roster-chat","class":"c"}],"tenants":[{"name":"t","keys":[%q]}],"engines":{"file":"list.json","poll_s":0.02},
+ "state_dir":"state","limits":{"idle_s":5}}`, demoKey)
+	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	cmd := exec.CommandContext(ctx, "/bin/sh", "-c", limit+`; exec "$0" serve --config "$1"`, os.Args[0], file)
+	cmd.Env = append(os.Environ(), "DILLROUTE_AS_PROGRAM=1")
+	var logs bytes.Buffer
+	cmd.Stderr = &logs
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	_, url, _ = strings.Cut(line(t, bufio.NewScanner(out), "listening on "), "listening on ")
+	return url, func() string {
+		cmd.Process.Signal(syscall.SIGTERM)
+		cmd.Wait()
+		cancel()
+		f.Stop()
+		return logs.String()
+	}
+}
+
+func TestFullFileTableIsOutlived(t *testing.T) {
+	defer http.DefaultClient.CloseIdleConnections()
+	url, stop := limited(t, "ulimit -n 60")
+	defer stop()
+	var conns []net.Conn
+	for range 80 { // more than the node can open
+		c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		if err != nil {
+			break
+		}
+		conns = append(conns, c)
+	}
+	for _, c := range conns {
+		c.Close()
+	}
+	code, text := 0, ""
+	for end := time.Now().Add(20 * time.Second); code != 200 && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		code, text, _ = ask(url, demoKey)
+	}
+	if code != 200 || !strings.Contains(text, "[DONE]") {
+		t.Fatalf("once the connections have gone it serves: %d %s", code, text)
+	}
+}
+
+func TestFullDiskIsNoReasonNotToServe(t *testing.T) {
+	defer http.DefaultClient.CloseIdleConnections()
+	url, stop := limited(t, "ulimit -f 0") // not one block may be written
+	code, text, err := ask(url, demoKey)
+	logs := stop()
+	if code != 200 || !strings.Contains(text, "[DONE]") {
+		t.Errorf("%d %s %v", code, text, err)
+	}
+	if !strings.Contains(logs, "not saved") {
+		t.Errorf("the log does not say that nothing is saved:\n%s", logs)
+	}
+}
--- a/lab/badday/badday_test.go
+++ b/lab/badday/badday_test.go
@@ -105,3 +105,68 @@
 		t.Fatal("another family")
 	}
 }
+
+// play runs a script made from the short one.
+func play(t *testing.T, change func(*badday.Script)) *badday.Report {
+	t.Helper()
+	text, err := os.ReadFile("../../examples/badday/short.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := badday.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Troubles = nil
+	change(s)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	r, err := badday.Run(ctx, s, badday.Options{Launch: launch, Skew: 0.5})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range r.Violations {
+		t.Error(v)
+	}
+	return r
+}
+
+// Half the nodes go by a list that is three seconds older, on which an engine that drained, one that died and one that
+// changed its role are as they were.
+func TestHalfTheNodesHoldAnOlderList(t *testing.T) {
+	r := play(t, func(s *badday.Script) {
+		s.Nodes, s.Length = 6, 7
+		s.Troubles = []badday.Trouble{{Kind: "stale_half", At: 0.5, Len: 6, Size: 3}, {Kind: "drain", At: 1, Len: 5, Engines: []string{"decode-a-2"}},
+			{Kind: "crash", At: 1.5, Len: 4, Engines: []string{"prefill-a-2"}},
+			{Kind: "role_change", At: 2, Len: 1, Engines: []string{"decode-a-1"}, To: "prefill"}}
+	})
+	for _, row := range r.Rows {
+		if row.Trouble == "all" && float64(row.InTime+row.Late+row.Left) < 0.7*float64(row.Asked) {
+			t.Errorf("%+v", row)
+		}
+	}
+}
+
+// An engine that all nodes had learned to do without comes back cold before all of them at once.
+func TestColdEngineBeforeAllNodesAtOnce(t *testing.T) {
+	r := play(t, func(s *badday.Script) {
+		s.Nodes, s.Length, s.Load.PerS, s.Rules.ColdS = 20, 8, 60, 3
+		for i := range s.Kinds {
+			s.Kinds[i].ColdS = 3
+		}
+		s.Troubles = []badday.Trouble{{Kind: "crash", At: 2, Len: 1.5, Engines: []string{"decode-a-1", "prefill-a-1"}}}
+	})
+	if r.Cold.Share > 1 || r.Cold.Share == 0 {
+		t.Errorf("sends to cold engines came to %.2f of their budget", r.Cold.Share)
+	}
+}
+
+func TestManyNodesRestartWithinASecond(t *testing.T) {
+	r := play(t, func(s *badday.Script) {
+		s.Nodes, s.Length = 60, 6
+		s.Troubles = []badday.Trouble{{Kind: "balancer_roll", At: 3, Len: 1, Part: 1, Size: 0.25, Extra: 0.1}}
+	})
+	if r.Starts != 120 {
+		t.Errorf("%d starts", r.Starts)
+	}
+}
--- a/lab/badday/script.go
+++ b/lab/badday/script.go
@@ -132,6 +132,7 @@
 	Extra   float64  `json:"extra,omitempty"`
 	Class   string   `json:"class,omitempty"`
 	Zone    string   `json:"zone,omitempty"`
+	To      string   `json:"to,omitempty"` // role_change: the kind that engines become
 }
 
 var schema = config.MustSchema(api.BaddaySchema)
@@ -217,6 +218,9 @@
 		if t.Class != "" && !slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == t.Class }) {
 			add(at+"/class", "no class is named %q", t.Class)
 		}
+		if isKind := slices.ContainsFunc(s.Kinds, func(k Kind) bool { return k.Name == t.To }); (t.Kind == "role_change" || t.To != "") && !isKind {
+			add(at+"/to", "no kind is named %q", t.To)
+		}
 		if t.Zone != "" && !slices.Contains(s.Zones, t.Zone) {
 			add(at+"/zone", "%q is not one of zones", t.Zone)
 		}
--- a/lab/badday/trouble.go
+++ b/lab/badday/trouble.go
@@ -34,6 +34,7 @@
 		"ageing":          (*day).ageing,
 		"zone_cut":        (*day).zoneCut,
 		"drain":           (*day).drain,
+		"role_change":     (*day).roleChange,
 		"burst":           (*day).burst,
 		"heavy_tail":      (*day).heavyTail,
 		"hot_key":         (*day).hotKey,
@@ -199,6 +200,22 @@
 	}
 }
 
+// roleChange restarts engines as another kind, for good. The list tells late, and then tells two things at once: a start
+// and a role.
+func (d *day) roleChange(t Trouble) func() {
+	i := slices.IndexFunc(d.s.Kinds, func(k Kind) bool { return k.Name == t.To })
+	for _, e := range d.struck(t, 0.2) {
+		e.Kill()
+		e.Become(d.s.Kinds[i].Role)
+		d.fleet.Become(e.ID, t.To)
+		if err := e.Start(true); err != nil {
+			fmt.Fprintln(d.o.Out, e.ID, "does not come back:", err)
+		}
+	}
+	d.changed()
+	return nil
+}
+
 // set changes a figure of the day and returns what puts it back.
 func (d *day) set(change, back func()) func() {
 	locked := func(f func()) {
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -2,6 +2,7 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"os"
@@ -26,11 +27,12 @@
 
 	mu     sync.Mutex
 	states map[string]string // by engine: "", draining, gone
+	kinds  map[string]string // of engines that have become another kind
 }
 
 // New makes a fleet that does not run yet. The log may be nil.
 func New(members []Member, l *record.Log) *Fleet {
-	f := &Fleet{log: l, members: members, engines: map[string]*standin.Engine{}, states: map[string]string{}}
+	f := &Fleet{log: l, members: members, engines: map[string]*standin.Engine{}, states: map[string]string{}, kinds: map[string]string{}}
 	for _, m := range members {
 		f.engines[m.ID] = standin.New(m.Settings, l)
 	}
@@ -70,6 +72,13 @@
 	f.mu.Unlock()
 }
 
+// Become lists an engine as another kind.
+func (f *Fleet) Become(id, kind string) {
+	f.mu.Lock()
+	f.kinds[id] = kind
+	f.mu.Unlock()
+}
+
 // entry is an engine in a list file, by its published shape.
 type entry struct {
 	ID      string  `json:"id"`
@@ -103,7 +112,7 @@
 		if state == "gone" {
 			continue
 		}
-		n := entry{ID: m.ID, Address: e.Address(), Kind: m.Kind, Cell: m.Cell, Zone: m.Zone, State: state}
+		n := entry{ID: m.ID, Address: e.Address(), Kind: cmp.Or(f.kinds[m.ID], m.Kind), Cell: m.Cell, Zone: m.Zone, State: state}
 		if at, cold := e.ColdBoot(); cold {
 			n.Boot = at
 		}
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -400,3 +400,10 @@
 	defer e.mu.Unlock()
 	return e.bootedAt, e.boots > 1
 }
+
+// Become makes a stopped engine one of another role; it takes effect at the next start.
+func (e *Engine) Become(role string) {
+	e.mu.Lock()
+	e.Role = role
+	e.mu.Unlock()
+}
