--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"dillroute/lab/badday"
+	"dillroute/lab/chart"
 
 	"github.com/spf13/cobra"
 )
@@ -22,7 +23,7 @@
 func fleetCommand() *cobra.Command {
 	p := badday.FleetPlan{Nodes: 60, Engines: 24, PerS: 100, Length: 60, Restarts: 1, Churn: 0.1, Notice: 0.5, Roll: true, Seed: 1}
 	var processes bool
-	var report string
+	var report, picture string
 	c := &cobra.Command{
 		Use:   "fleet",
 		Short: "Run many nodes that share nothing, restart them at random and judge the rules over all of them",
@@ -32,10 +33,10 @@
 run within this process, or with --processes each in one of its own.
 
 ` + exitCodesDoc,
-		Example: "  dillroute fleet\n  dillroute fleet --nodes 300 --engines 40 --rate 150 --seconds 1200 --report fleet.json\n  dillroute fleet --processes --nodes 20",
+		Example: "  dillroute fleet\n  dillroute fleet --nodes 300 --engines 40 --rate 150 --seconds 1200 --report fleet.json --plot fleet.png\n  dillroute fleet --processes --nodes 20",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return runFleet(p, processes, report, cmd.OutOrStdout())
+			return runFleet(p, processes, report, picture, cmd.OutOrStdout())
 		},
 	}
 	f := c.Flags()
@@ -49,11 +50,12 @@
 	f.BoolVar(&p.Roll, "roll", p.Roll, "restart all nodes within a second near the end")
 	f.Uint64Var(&p.Seed, "seed", p.Seed, "seed of load, restarts and engines")
 	f.BoolVar(&processes, "processes", false, "run each node in a process of its own")
+	f.StringVar(&picture, "plot", "", "draw service, nodes, fairness and cold budgets over time as PNG to this file")
 	f.StringVar(&report, "report", "", "write the report as JSON to this file")
 	return c
 }
 
-func runFleet(p badday.FleetPlan, processes bool, report string, out io.Writer) error {
+func runFleet(p badday.FleetPlan, processes bool, report, picture string, out io.Writer) error {
 	if p.Nodes < 1 || p.Engines < 3 || p.Length < 5 {
 		return withCode(ExitUsage, fmt.Errorf("a fleet has 1 node, 3 engines and 5 seconds at least"))
 	}
@@ -78,8 +80,8 @@
 	}
 	r.Print(out)
 	fmt.Fprintf(out, "\n%d starts of nodes, ready after %.0f ms at the 99th percentile\n", r.Starts, 1000*r.ReadyP99)
-	fmt.Fprintf(out, "sends to a cold engine: at most %.0f%% of its budget in any window\nJain's index of work over engines:", 100*r.Cold.Share)
-	for _, kind := range []string{"prefill", "decode", "mixed"} {
+	fmt.Fprintf(out, "sends to a cold engine: at most %.0f%% of its budget in any window\nJain's index, of work over engines and of service over tenants:", 100*r.Cold.Share)
+	for _, kind := range []string{"prefill", "decode", "mixed", "tenants"} {
 		fmt.Fprintf(out, " %s %.3f", kind, r.Fairness[kind])
 	}
 	fmt.Fprintf(out, "\nresident memory: %.1f MiB, stand-ins and clients included\n", float64(residentSelf())/(1<<20))
@@ -92,6 +94,11 @@
 			return withCode(ExitRun, err)
 		}
 	}
+	if picture != "" {
+		if err := chart.Draw(r, picture); err != nil {
+			return withCode(ExitRun, err)
+		}
+	}
 	if r.Broken > 0 {
 		return withCode(ExitRules, fmt.Errorf("%d breaches of the rules", r.Broken))
 	}
--- a/lab/badday/fleet.go
+++ b/lab/badday/fleet.go
@@ -19,6 +19,7 @@
 func (p FleetPlan) Script() *Script {
 	s := &Script{Name: fmt.Sprintf("fleet of %d nodes and %d engines", p.Nodes, p.Engines), Seed: p.Seed, Length: p.Length, Nodes: p.Nodes,
 		Load:    Load{PerS: p.PerS, MaxAsks: 1_000_000},
+		Tenants: []Tenant{{Name: "wellington", Share: 0.51}, {Name: "manawatu", Share: 0.42}, {Name: "wairarapa", Share: 0.07}},
 		Clients: Clients{Retries: 2, Backoff: 0.3, Hangups: 0.01, Notice: 1.5},
 		List:    List{Notice: p.Notice}, Limits: Limits{MaxAttempts: 4, LocalRead: true},
 		Kinds: []Kind{{Name: "prefill", Role: "prefill", Slots: 8, Queue: 60, ReadPerS: 20000},
--- a/lab/badday/report.go
+++ b/lab/badday/report.go
@@ -27,6 +27,7 @@
 	Fairness   map[string]float64 `json:"fairness"`    // Jain's index of work over the engines of a kind
 	ReadyP99   float64            `json:"ready_p99_s"` // from the start of a node until it is ready
 	Starts     int                `json:"node_starts"`
+	Series     []Point            `json:"series"`
 }
 
 // Row is what happened to the operations of a class that were first asked while a trouble was on.
@@ -50,14 +51,14 @@
 
 // outcome is what became of one operation.
 type outcome struct {
-	class, node string
-	at          float64 // first asked
-	asked       float64 // last asked
-	end         record.Record
-	first       float64 // s from the last try's ask; 0 = none
-	began       float64
-	prompt      float64
-	last        float64
+	class, tenant string
+	at            float64 // first asked
+	asked         float64 // last asked
+	end           record.Record
+	first         float64 // s from the last try's ask; 0 = none
+	began         float64
+	prompt        float64
+	last          float64
 }
 
 // tally counts operations as they end. An operation has ended when nothing more was heard of it for a while: a client
@@ -69,27 +70,92 @@
 	rows  map[[2]string]*Row
 	sent  map[string]float64 // work that arrived at each engine
 	swept float64
+
+	tenants map[string]*part
+	series  []Point
+	window  map[string]float64 // work that arrived at each engine since the last point
+	kinds   map[string]string  // of engines
+	up      int
 }
 
+// part is what became of a tenant's requests.
+type part struct{ asked, inTime float64 }
+
+// Point is what happened in a few seconds of a day.
+type Point struct {
+	T        float64            `json:"t_s"`
+	Asked    int                `json:"asked"`
+	Served   int                `json:"served"`
+	Cold     float64            `json:"cold_use"` // greatest part of a cold budget that was used so far
+	Fairness map[string]float64 `json:"fairness"` // Jain's index over the engines of a kind, in these seconds
+	Up       int                `json:"nodes_up"`
+}
+
+// pointEvery is the length of a point (s); at most pointsMost are kept, whatever the length of the day.
+const (
+	pointEvery = 2.0
+	pointsMost = 5000
+)
+
 func newTally(s *Script, start float64) *tally {
-	return &tally{s: s, start: start, ops: map[string]*outcome{}, rows: map[[2]string]*Row{}, sent: map[string]float64{}}
+	return &tally{s: s, start: start, ops: map[string]*outcome{}, rows: map[[2]string]*Row{}, sent: map[string]float64{},
+		tenants: map[string]*part{}, window: map[string]float64{}, kinds: kindsOf(s)}
+}
+
+func kindsOf(s *Script) map[string]string {
+	kinds := map[string]string{}
+	s.each(func(id string, k Kind, _ Group) { kinds[id] = k.Name })
+	return kinds
+}
+
+// point closes the present point of the series and begins the next.
+func (t *tally) point(at, cold float64) {
+	byKind := map[string][]float64{}
+	for id, kind := range t.kinds {
+		byKind[kind] = append(byKind[kind], t.window[id])
+	}
+	last := &t.series[len(t.series)-1]
+	last.Cold, last.Up, last.Fairness = cold, t.up, map[string]float64{}
+	for kind, xs := range byKind {
+		last.Fairness[kind] = jain(xs)
+	}
+	clear(t.window)
+	if len(t.series) < pointsMost {
+		t.series = append(t.series, Point{T: at})
+	}
 }
 
 // quietFor is how long nothing is heard of an operation before it is counted (s).
 const quietFor = 15.0
 
-// add takes a record.
-func (t *tally) add(x record.Record) {
+// add takes a record; cold is the greatest part of a cold budget that was used so far.
+func (t *tally) add(x record.Record, cold float64) {
+	if at := x.T - t.start; len(t.series) == 0 {
+		t.series = append(t.series, Point{T: 0})
+	} else if at > t.series[len(t.series)-1].T+pointEvery {
+		t.point(at, cold)
+	}
+	now := &t.series[len(t.series)-1]
+	switch {
+	case x.Kind == record.NodeUp:
+		t.up++
+	case x.Kind == record.NodeKill && x.Note == "":
+		t.up--
+	case x.Kind == record.Answer && x.Outcome == record.Served:
+		now.Served++
+	}
 	o := t.ops[x.Op]
 	switch {
 	case x.Kind == record.Ask && o == nil:
-		o = &outcome{class: x.Class, at: x.T}
+		now.Asked++
+		o = &outcome{class: x.Class, tenant: x.Tenant, at: x.T}
 		t.ops[x.Op] = o
 		fallthrough
 	case x.Kind == record.Ask:
 		o.asked, o.first, o.began, o.last, o.end = x.T, 0, 0, x.T, record.Record{}
 	case x.Kind == record.Arrive:
 		t.sent[x.Engine] += x.Work
+		t.window[x.Engine] += x.Work
 		if o != nil {
 			o.prompt, o.last = x.Tokens, x.T
 		}
@@ -156,6 +222,12 @@
 
 // count files an operation in its rows.
 func (t *tally) count(o *outcome) {
+	who := t.tenants[o.tenant]
+	if who == nil {
+		who = &part{}
+		t.tenants[o.tenant] = who
+	}
+	who.asked++
 	for _, trouble := range append(t.during(o.at), "all") {
 		k := [2]string{trouble, o.class}
 		if t.rows[k] == nil {
@@ -183,6 +255,9 @@
 			r.Late++
 		} else {
 			r.InTime++
+			if r.Trouble == "all" {
+				t.tenants[o.tenant].inTime++
+			}
 		}
 		if first > 0 {
 			r.first.RecordValue(int64(first * 1e6))
--- a/lab/badday/run.go
+++ b/lab/badday/run.go
@@ -83,7 +83,8 @@
 	pub        sync.Mutex
 }
 
-const key = "bad-day-key"
+// keyOf is a tenant's key.
+func keyOf(t Tenant) string { return "bad-day-key-" + t.Name }
 
 // Run plays a script and reports. The context ends it early.
 func Run(ctx context.Context, s *Script, o Options) (*Report, error) {
@@ -101,8 +102,8 @@
 	d := &day{s: s, o: o, dir: dir, load: 1, ready: hdrhistogram.New(1, 60_000_000, 3), heavy: map[string][2]float64{},
 		rng: rand.New(rand.NewPCG(s.Seed, 1))}
 	judge, counts := rules.NewJudge(d.ruleConfig()), newTally(s, record.Now())
-	d.log = &record.Log{Sink: func(r record.Record) { judge.Add(r); counts.add(r) }}
-	d.client = client.New(key, d.log)
+	d.log = &record.Log{Sink: func(r record.Record) { judge.Add(r); counts.add(r, judge.Cold().Share) }}
+	d.client = client.New("", d.log)
 	defer d.client.Close()
 	d.fleet = fleet.New(d.members(), d.log)
 	if err := d.fleet.Start(); err != nil {
@@ -194,6 +195,12 @@
 	for kind, xs := range byKind {
 		rep.Fairness[kind] = jain(xs)
 	}
+	var parts []float64
+	for _, x := range counts.tenants {
+		parts = append(parts, x.inTime/max(1, x.asked))
+	}
+	rep.Fairness["tenants"] = jain(parts)
+	rep.Series = counts.series
 	return rep
 }
 
@@ -261,7 +268,7 @@
 
 // nodeConfig writes a node's configuration, by its published shape.
 func (d *day) nodeConfig(s *slot, listen string) []byte {
-	var kinds, classes, models []any
+	var kinds, classes, models, tenants []any
 	for _, k := range d.s.Kinds {
 		kinds = append(kinds, map[string]any{"name": k.Name, "role": k.Role, "memory_tokens": k.MemoryTokens})
 	}
@@ -271,10 +278,13 @@
 			"patience_per_1k_prompt_s": c.PatiencePerK, "token_aim_s": c.TokenAim, "max_tokens": c.MaxTokens})
 		models = append(models, map[string]any{"name": c.Name, "class": c.Name})
 	}
+	for _, t := range d.s.Tenants {
+		tenants = append(tenants, map[string]any{"name": t.Name, "keys": []string{keyOf(t)}, "quota_per_s": t.Quota})
+	}
 	r := d.s.Rules
 	m := map[string]any{"listen": listen, "node": map[string]any{"name": s.name, "rank": s.rank, "nodes": d.s.Nodes, "zone": s.zone},
 		"kinds": kinds, "classes": classes, "models": models, "local_read": d.s.Limits.LocalRead,
-		"tenants": []any{map[string]any{"name": "day", "keys": []string{key}}},
+		"tenants": tenants,
 		"engines": map[string]any{"file": d.listFile(s), "poll_s": 0.1},
 		"limits":  map[string]any{"max_attempts": d.s.Limits.MaxAttempts, "stall_s": 5, "shutdown_s": 2},
 		"rules": map[string]any{"answer_slack_s": r.AnswerSlack, "drain_grace_s": r.DrainGrace, "cold_share": r.ColdShare,
@@ -349,7 +359,7 @@
 	}
 	d.log.Add(record.Record{Kind: record.NodeKill, Node: s.name})
 	n.Stop()
-	d.log.Add(record.Record{Kind: record.NodeKill, Node: s.name})
+	d.log.Add(record.Record{Kind: record.NodeKill, Node: s.name, Note: "until now"})
 }
 
 func (d *day) stopNodes() {
@@ -461,6 +471,21 @@
 	}
 }
 
+// tenant draws a tenant by the shares.
+func (d *day) tenant(rng *rand.Rand) *Tenant {
+	sum := 0.0
+	for _, t := range d.s.Tenants {
+		sum += t.Share
+	}
+	x := rng.Float64() * sum
+	for i := range d.s.Tenants {
+		if x -= d.s.Tenants[i].Share; x < 0 {
+			return &d.s.Tenants[i]
+		}
+	}
+	return &d.s.Tenants[len(d.s.Tenants)-1]
+}
+
 // class draws a class by the shares.
 func (d *day) class(rng *rand.Rand) *Class {
 	sum := 0.0
@@ -483,7 +508,7 @@
 // session asks its turns one after another; each holds all that went before.
 func (d *day) session(seed uint64) {
 	rng := rand.New(rand.NewPCG(d.s.Seed^0xabcdef, seed))
-	c := d.class(rng)
+	c, who := d.class(rng), d.tenant(rng)
 	ms := []standin.Message{{Role: "system", Content: d.beginning(rng, c, seed)}}
 	for turn := 0; ; turn++ {
 		d.mu.Lock()
@@ -498,7 +523,7 @@
 		ms = append(ms, standin.Message{Role: "user", Content: standin.Words(seed*31+uint64(turn), int(size)+4)})
 		answer := int(max(2, min(float64(c.MaxTokens), lognormal(rng, c.AnswerTokens, c.AnswerSigma))))
 		op := fmt.Sprintf("s%d.%d", seed, turn)
-		text, served := d.operation(rng, c, op, fmt.Sprintf("session-%d", seed), ms, answer)
+		text, served := d.operation(rng, c, who, op, fmt.Sprintf("session-%d", seed), ms, answer)
 		if !served || rng.Float64() >= 1-1/max(1, c.Turns) {
 			return
 		}
@@ -525,7 +550,7 @@
 }
 
 // operation asks once and comes again as clients do. It returns the text of a served answer.
-func (d *day) operation(rng *rand.Rand, c *Class, op, session string, ms []standin.Message, answer int) (string, bool) {
+func (d *day) operation(rng *rand.Rand, c *Class, who *Tenant, op, session string, ms []standin.Message, answer int) (string, bool) {
 	prompt := 0
 	for _, m := range ms {
 		prompt += len(m.Content)/4 + 4
@@ -537,7 +562,7 @@
 	}
 	d.mu.Unlock()
 	a := client.Ask{Model: c.Name, Messages: ms, MaxTokens: c.MaxTokens, Session: session, Patience: seconds(patience),
-		Whole: rng.Float64() < c.Whole, Mark: standin.Mark{Op: op, Class: c.Name, Answer: answer}}
+		Whole: rng.Float64() < c.Whole, Key: keyOf(*who), Tenant: who.Name, Mark: standin.Mark{Op: op, Class: c.Name, Answer: answer}}
 	if rng.Float64() < d.s.Clients.Hangups {
 		a.HangupAt = 1 + rng.IntN(max(1, answer))
 		a.Whole = false
--- a/lab/badday/script.go
+++ b/lab/badday/script.go
@@ -24,6 +24,7 @@
 	Kinds    []Kind    `json:"kinds"`
 	Engines  []Group   `json:"engines"`
 	Classes  []Class   `json:"classes"`
+	Tenants  []Tenant  `json:"tenants,omitempty"`
 	Clients  Clients   `json:"clients"`
 	List     List      `json:"list"`
 	Rules    Rules     `json:"rules"`
@@ -89,6 +90,13 @@
 	Whole        float64 `json:"whole"`        // part asked for without a stream
 }
 
+// Tenant is an account, its part of the requests, and what it is allotted over all nodes.
+type Tenant struct {
+	Name  string  `json:"name"`
+	Share float64 `json:"share"`
+	Quota float64 `json:"quota_per_s"`
+}
+
 // Clients say how clients behave.
 type Clients struct {
 	Retries   int     `json:"retries"`
@@ -150,6 +158,12 @@
 func (s *Script) defaults() {
 	set := func(v *float64, d float64) { *v = cmp.Or(*v, d) }
 	s.Nodes = cmp.Or(s.Nodes, 2)
+	if len(s.Tenants) == 0 {
+		s.Tenants = []Tenant{{Name: "day"}}
+	}
+	for i := range s.Tenants {
+		set(&s.Tenants[i].Share, 1)
+	}
 	s.Load.MaxAsks = cmp.Or(s.Load.MaxAsks, 20000)
 	set(&s.Clients.Backoff, 0.3)
 	set(&s.Clients.Notice, 1)
--- a/lab/client/client.go
+++ b/lab/client/client.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -31,6 +32,8 @@
 	Session   string        // prompt_cache_key
 	Patience  time.Duration // without a first token
 	HangupAt  int           // leave after this many events; 0 = never
+	Key       string        // in place of the client's; "" = that
+	Tenant    string        // in the record
 }
 
 // Result is what the client saw of one try.
@@ -83,13 +86,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	start := time.Now()
-	base := record.Record{Op: a.Mark.Op, Try: a.Mark.Try, Class: a.Mark.Class, Node: node}
+	base := record.Record{Op: a.Mark.Op, Try: a.Mark.Try, Class: a.Mark.Class, Node: node, Tenant: a.Tenant}
 	q, err := http.NewRequestWithContext(ctx, "POST", "http://"+address+"/v1/chat/completions", bytes.NewReader(a.Body()))
 	if err != nil {
 		return Result{Err: err}
 	}
 	q.Header.Set("Content-Type", "application/json")
-	q.Header.Set("Authorization", "Bearer "+c.Key)
+	q.Header.Set("Authorization", "Bearer "+cmp.Or(a.Key, c.Key))
 	q.Header.Set("X-Stainless-Retry-Count", strconv.Itoa(a.Mark.Try))
 	if a.Patience > 0 {
 		q.Header.Set("X-Request-Timeout-Ms", strconv.FormatInt(a.Patience.Milliseconds(), 10))
--- a/lab/record/record.go
+++ b/lab/record/record.go
@@ -63,6 +63,7 @@
 	Op      string // what the user wants done; its tries share it
 	Try     int
 	Class   string
+	Tenant  string
 	Node    string
 	Engine  string
 	State   string // id of a state, or the state of an engine in a list
