Fields and counters that nothing used are gone

Need: the first read-through found script fields without effect, counters in the book that no one read, and two unused accessors.

Result: vet clean, tests of the packages touched green.

--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -154,13 +154,6 @@
 	events  []brain.Event
 	cmds    []Command
 	closing bool
-	counts  Counts
-}
-
-// Counts are totals since the start.
-type Counts struct {
-	Taken, TurnedAway, Served, Refused, Failed, Gone, Judged int64
-	Attempts, Faults                                         int64
 }
 
 // New returns an empty book.
@@ -194,9 +187,6 @@
 // Held returns the number of entries, those that only wait for an attempt to end included.
 func (l *Ledger) Held() int { return len(l.open) }
 
-// Counts returns the totals.
-func (l *Ledger) Counts() Counts { return l.counts }
-
 // Deadline returns when the book itself would answer a request (s); ok is false for one that it does not know.
 func (l *Ledger) Deadline(id string) (at float64, ok bool) {
 	e := l.open[id]
@@ -213,7 +203,6 @@
 func (l *Ledger) do(c Command)        { l.cmds = append(l.cmds, c) }
 
 func (l *Ledger) fault(format string, args ...any) {
-	l.counts.Faults++
 	l.do(Fault{fmt.Sprintf(format, args...)})
 }
 
@@ -224,10 +213,8 @@
 func (l *Ledger) Request(now float64, q brain.Request, whole float64) (ending.Answer, bool) {
 	switch {
 	case l.closing:
-		l.counts.TurnedAway++
 		return ending.Answer{HTTP: 503, Code: "node_draining", Retry: true}, false
 	case l.live >= l.cfg.MaxOpen:
-		l.counts.TurnedAway++
 		return ending.Answer{HTTP: 429, Code: "node_full", Retry: true}, false
 	case l.open[q.ID] != nil || q.Class < 0 || q.Class >= len(l.cfg.Classes):
 		l.fault("request %s: its id is in use, or its class %d is not known", q.ID, q.Class)
@@ -239,7 +226,6 @@
 	}
 	l.open[q.ID] = e
 	l.live++
-	l.counts.Taken++
 	l.emit(q)
 	return ending.Answer{}, true
 }
@@ -325,7 +311,6 @@
 		return
 	}
 	e.attempts = append(e.attempts, t)
-	l.counts.Attempts++
 	e.out++
 	l.do(Start{ID: a.ID, Engine: a.Engine, N: n, Stage: t.stage, State: t.withState, StateN: e.stateN,
 		Timeout: a.Timeout})
@@ -420,11 +405,6 @@
 		l.fault("refusal of %s, which may have run", id)
 		a, after = ending.Failed(), 0
 	}
-	if a.Retry {
-		l.counts.Refused++
-	} else {
-		l.counts.Failed++
-	}
 	l.say(e, Answer{id, a, after, reason})
 	l.conclude(id, e, ending.Overtaken)
 }
@@ -564,7 +544,7 @@
 	}
 }
 
-// closes settles what the end of an attempt means for the client, and counts it. An answer that began and broke
+// closes settles what the end of an attempt means for the client. An answer that began and broke
 // ends the request: the client has part of it, and the module is told so.
 func (l *Ledger) closes(id string, e *entry, n int, v ending.Verdict) bool {
 	t := e.attempt(n)
@@ -572,15 +552,12 @@
 	case e.concluded:
 		return false
 	case v.Final:
-		l.counts.Judged++
 		l.do(Pass{id, n})
 		return true
 	case t.streaming && v.Status == brain.Served:
-		l.counts.Served++
 		return true
 	case t.streaming:
 		a := ending.Broke(e.class.Effect, e.class.Group)
-		l.counts.Failed++
 		l.do(Answer{id, a, 0, "the engine stopped before the answer was complete"})
 		return true
 	}
@@ -593,7 +570,6 @@
 	if e == nil || e.concluded {
 		return
 	}
-	l.counts.Gone++
 	if half {
 		retry := ending.Repeats(e.class.Effect, e.class.Group, l.mayHaveRun(e))
 		l.say(e, Answer{id, ending.Answer{HTTP: 400, Code: "client_closed", Retry: retry}, 0,
@@ -624,11 +600,6 @@
 	if a.Retry && !ending.Repeats(e.class.Effect, e.class.Group, l.mayHaveRun(e)) {
 		a = ending.Failed()
 	}
-	if a.Retry {
-		l.counts.Refused++
-	} else {
-		l.counts.Failed++
-	}
 	l.say(e, Answer{id, a, 0, reason})
 	l.emit(brain.Gone{ID: id})
 	l.conclude(id, e, ending.Overtaken)
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -26,7 +25,6 @@
 	mu     sync.Mutex
 	idle   map[string][]*ClientConn
 	closed bool
-	opened atomic.Int64
 }
 
 // ClientConn is a connection to a server. It belongs to one goroutine, but for Close.
@@ -40,9 +38,6 @@
 	Reused bool
 }
 
-// Opened returns the number of connections that were made.
-func (p *Pool) Opened() int64 { return p.opened.Load() }
-
 // Get returns an idle connection that is still open, or makes one within the time given.
 func (p *Pool) Get(addr string, timeout time.Duration) (*ClientConn, error) {
 	for {
@@ -60,7 +55,6 @@
 	if err != nil {
 		return nil, err
 	}
-	p.opened.Add(1)
 	return &ClientConn{addr: addr, nc: nc, br: bufio.NewReaderSize(nc, 1<<10), lim: p.Limits}, nil
 }
 
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -34,9 +34,6 @@
 // ErrEnded tells that an exchange had its answer already.
 var ErrEnded = errors.New("http1: the exchange has ended")
 
-// Remote returns the client's address.
-func (x *Exchange) Remote() string { return x.c.nc.RemoteAddr().String() }
-
 // OnHangup sets what is called, once, when the client has gone before the answer ended; at once if it has.
 // half tells that its sending side ended in good order, so that it may still be reading.
 func (x *Exchange) OnHangup(f func(half bool)) {
--- a/lab/badday/convert.go
+++ b/lab/badday/convert.go
@@ -46,10 +46,9 @@
 			ColdFrom     float64 `json:"cold_from"`
 			Cold         float64
 		}
-		Report    float64 `json:"report_period"`
-		ColdFrom  float64 `json:"stated_cold_from"`
-		ColdFor   float64 `json:"stated_cold"`
-		Handshake float64 `json:"handshake_work"`
+		Report   float64 `json:"report_period"`
+		ColdFrom float64 `json:"stated_cold_from"`
+		ColdFor  float64 `json:"stated_cold"`
 	}
 	Servers []struct {
 		Zone, Kind, Cell int
@@ -57,14 +56,12 @@
 	}
 	Balancers []struct{ Zone int }
 	Troubles  []struct {
-		Kind            string
-		At, Len         float64
-		Size, Extra     float64
-		On              []int
-		Which           int
-		Part            float64
-		Steps           []json.RawMessage
-		StepsUnreadable bool `json:"-"`
+		Kind        string
+		At, Len     float64
+		Size, Extra float64
+		On          []int
+		Which       int
+		Part        float64
 	}
 	Fam struct {
 		Engines []struct {
--- a/lab/badday/script.go
+++ b/lab/badday/script.go
@@ -53,7 +53,6 @@
 	ColdShare    float64 `json:"cold_share"`
 	ColdS        float64 `json:"cold_s"`
 	ReportMS     float64 `json:"report_ms"`
-	Handshake    float64 `json:"handshake_ms"`
 }
 
 // Group is some engines of a kind in a cell.
@@ -99,12 +98,11 @@
 
 // Clients say how clients behave.
 type Clients struct {
-	Retries   int     `json:"retries"`
-	Backoff   float64 `json:"backoff_s"`
-	Hangups   float64 `json:"hangups"`        // part that leaves in mid-stream
-	Notice    float64 `json:"front_notice_s"` // a dead node is still tried for this long
-	TryShare  float64 `json:"try_share"`      // part of the patience that a try is given
-	Impatient float64 `json:"impatient"`      // part that gives up early without telling
+	Retries  int     `json:"retries"`
+	Backoff  float64 `json:"backoff_s"`
+	Hangups  float64 `json:"hangups"`        // part that leaves in mid-stream
+	Notice   float64 `json:"front_notice_s"` // a dead node is still tried for this long
+	TryShare float64 `json:"try_share"`      // part of the patience that a try is given
 }
 
 // List says how late the engine list is.
