--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -47,6 +47,7 @@
 	f.Float64Var(&p.Restarts, "restarts", p.Restarts, "nodes killed and restarted a second")
 	f.Float64Var(&p.Churn, "churn", p.Churn, "engines that die and come back cold a second")
 	f.Float64Var(&p.Notice, "notice", p.Notice, "seconds by which the list is late")
+	f.BoolVar(&p.ListServer, "list-server", false, "nodes ask one list server by blocking queries, in place of a file each")
 	f.BoolVar(&p.Roll, "roll", p.Roll, "restart all nodes within a second near the end")
 	f.Uint64Var(&p.Seed, "seed", p.Seed, "seed of load, restarts and engines")
 	f.BoolVar(&processes, "processes", false, "run each node in a process of its own")
--- a/lab/badday/fleet.go
+++ b/lab/badday/fleet.go
@@ -10,6 +10,7 @@
 	Restarts       float64 // of single nodes, a second
 	Churn          float64 // engines that die and come back cold, a second
 	Notice         float64 // s by which the list is late
+	ListServer     bool    // nodes ask one list server
 	Roll           bool    // every node is restarted once more, a fifth at a time
 	Seed           uint64
 }
@@ -21,7 +22,7 @@
 		Load:    Load{PerS: p.PerS, MaxAsks: 1_000_000},
 		Tenants: []Tenant{{Name: "wellington", Share: 0.51}, {Name: "manawatu", Share: 0.42}, {Name: "wairarapa", Share: 0.07}},
 		Clients: Clients{Retries: 2, Backoff: 0.3, Hangups: 0.01, Notice: 1.5},
-		List:    List{Notice: p.Notice}, Limits: Limits{MaxAttempts: 4, LocalRead: true},
+		List:    List{Notice: p.Notice, Server: p.ListServer}, Limits: Limits{MaxAttempts: 4, LocalRead: true},
 		Kinds: []Kind{{Name: "prefill", Role: "prefill", Slots: 8, Queue: 60, ReadPerS: 20000},
 			{Name: "decode", Role: "decode", Slots: 64, Queue: 40, StepMS: 10, PerSeqMS: 0.2},
 			{Name: "mixed", Role: "mixed", Slots: 48, Queue: 40, StepMS: 10, PerSeqMS: 0.2}},
--- a/lab/badday/run.go
+++ b/lab/badday/run.go
@@ -51,9 +51,13 @@
 	log    *record.Log
 	fleet  *fleet.Fleet
 	client *client.Client
+	lists  *standin.ListServer // nil = a file for each node
 	start  time.Time
 	work   sync.WaitGroup // clients, troubles and list deliveries
 
+	pub  sync.Mutex // of what the list server tells
+	told int        // serial of the newest list that it has
+
 	mu       sync.Mutex
 	nodes    []*slot
 	serial   int     // of list snapshots
@@ -110,6 +114,13 @@
 		return nil, err
 	}
 	defer d.fleet.Stop()
+	if s.List.Server {
+		d.lists = standin.NewListServer(1)
+		if err := d.lists.Start(); err != nil {
+			return nil, err
+		}
+		defer d.lists.Stop()
+	}
 	if err := d.startNodes(); err != nil {
 		d.stopNodes()
 		return nil, err
@@ -289,6 +300,9 @@
 		"limits":  map[string]any{"max_attempts": d.s.Limits.MaxAttempts, "stall_s": 5, "shutdown_s": 2},
 		"rules": map[string]any{"answer_slack_s": r.AnswerSlack, "drain_grace_s": r.DrainGrace, "cold_share": r.ColdShare,
 			"cold_s": r.ColdS, "fall_multiple": r.FallMultiple, "tip_after_s": r.TipAfter, "let_go_by_s": r.LetGoBy}}
+	if d.lists != nil {
+		m["engines"] = map[string]any{"consul": d.lists.Address(), "wait_s": 5}
+	}
 	if len(d.s.Zones) > 0 {
 		m["zones"] = d.s.Zones
 	} else {
@@ -301,14 +315,19 @@
 func (d *day) listFile(s *slot) string { return filepath.Join(d.dir, s.name+".json") }
 
 func (d *day) startNodes() error {
+	if d.lists != nil {
+		d.fleet.Serve(d.fleet.List(), d.lists, d.names())
+	}
 	for i := range d.s.Nodes {
 		s := &slot{name: fmt.Sprintf("node-%d", i), rank: i}
 		if len(d.s.Zones) > 0 {
 			s.zone = d.s.Zones[i%len(d.s.Zones)]
 		}
 		d.nodes = append(d.nodes, s)
-		if err := d.fleet.Publish(d.fleet.List(), s.name, d.listFile(s)); err != nil {
-			return err
+		if d.lists == nil {
+			if err := d.fleet.Publish(d.fleet.List(), s.name, d.listFile(s)); err != nil {
+				return err
+			}
 		}
 		if err := d.launch(s); err != nil {
 			return err
@@ -317,6 +336,15 @@
 	return nil
 }
 
+// names lists all nodes.
+func (d *day) names() []string {
+	var names []string
+	for i := range d.s.Nodes {
+		names = append(names, fmt.Sprintf("node-%d", i))
+	}
+	return names
+}
+
 // launch starts a node at the address that it had, with nothing but its last list.
 func (d *day) launch(s *slot) error {
 	listen := s.address
@@ -380,6 +408,21 @@
 	d.serial++
 	serial, late := d.serial, d.s.List.Notice+d.lateBy
 	d.mu.Unlock()
+	if d.lists != nil {
+		d.work.Add(1)
+		go func() {
+			defer d.work.Done()
+			if d.sleep(time.Since(d.start).Seconds() + late) {
+				d.pub.Lock()
+				defer d.pub.Unlock()
+				if d.told < serial {
+					d.told = serial
+					d.fleet.Serve(snap, d.lists, d.names())
+				}
+			}
+		}()
+		return
+	}
 	for _, s := range d.nodes {
 		d.mu.Lock()
 		wait := late * (0.75 + 0.5*d.rng.Float64())
--- a/lab/badday/script.go
+++ b/lab/badday/script.go
@@ -108,6 +108,7 @@
 // List says how late the engine list is.
 type List struct {
 	Notice float64 `json:"notice_s"`
+	Server bool    `json:"server"` // nodes ask one list server, in place of a file each
 }
 
 // Rules are the figures of the rules for the nodes and for the checker.
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 
 	"dillroute/lab/record"
@@ -92,8 +93,9 @@
 
 // Snapshot is a list as it stood at a moment.
 type Snapshot struct {
-	Text   []byte
-	States map[string]string // of each engine: ready, draining or gone
+	Text    []byte
+	States  map[string]string // of each engine: ready, draining or gone
+	entries []entry
 }
 
 // List writes the list as it stands. An engine that was never restarted has no start time.
@@ -118,6 +120,7 @@
 		}
 		entries = append(entries, n)
 	}
+	s.entries = entries
 	s.Text, _ = json.MarshalIndent(map[string]any{"engines": entries}, "", " ") // plain strings and numbers encode
 	return s
 }
@@ -136,9 +139,30 @@
 		os.Remove(tmp.Name())
 		return err
 	}
+	f.told(s, node)
+	return nil
+}
+
+// Serve gives a snapshot to a list server, which tells all nodes at once; what each was told is recorded.
+func (f *Fleet) Serve(s Snapshot, server *standin.ListServer, nodes []string) {
+	var list []standin.Instance
+	for _, e := range s.entries {
+		meta := map[string]string{"kind": e.Kind, "cell": e.Cell, "zone": e.Zone, "state": e.State}
+		if e.Boot > 0 {
+			meta["boot_time"] = strconv.FormatFloat(e.Boot, 'f', 6, 64)
+		}
+		list = append(list, standin.Instance{ID: e.ID, Address: e.Address, Meta: meta})
+	}
+	server.Set(list)
+	f.told(s, nodes...)
+}
+
+// told records what nodes were told.
+func (f *Fleet) told(s Snapshot, nodes ...string) {
 	at := record.Now()
-	for id, state := range s.States {
-		f.log.Add(record.Record{T: at, Kind: record.Told, Node: node, Engine: id, State: state})
+	for _, node := range nodes {
+		for id, state := range s.States {
+			f.log.Add(record.Record{T: at, Kind: record.Told, Node: node, Engine: id, State: state})
+		}
 	}
-	return nil
 }
