--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,7 +17,6 @@
 // Defaults of the design, ours.
 const (
 	window      = 4    // requests at the head of the high tier from which one is drawn
-	lowReads    = 2    // reads of ours at a reader above which the low tier waits
 	readSlack   = 1.3  // times its prediction that the first-token test allows a read; queues grow unseen
 	recheck     = 0.02 // s between looks at held requests when nothing else happens
 	paceSlack   = 0.8  // share of the token pace aim that a prediction may use
@@ -29,6 +28,8 @@
 	shareWindow = 30.0 // s over which the parts of the shared beginnings in our arrivals are averaged
 	sharePrior  = 5    // requests of other beginnings that are added to them
 	homeMost    = 1.2  // most of its even part of the beginnings that a reader beside many writers takes
+	mixedHome   = 0.5  // part of a reader's beginnings for which a mixed engine is home, as it writes too
+	mixedLast   = 5    // room that a writer must lack before a mixed engine takes what a reader has read
 	homeLeast   = 0.5  // least part of the beginnings that a reader with few writers in its cell takes
 	linePrior   = 1e7  // squared tokens that the line's prior is worth
 	sptFloor    = 1e-5 // s a token, below which no slope is believed
@@ -133,6 +134,10 @@
 		r.most[role] = max(r.most[role], n)
 	}
 	for _, e := range r.list {
+		if e.role == Mixed {
+			e.home = mixedHome
+			continue
+		}
 		ratio := cells[e.Cell].writers / max(1, cells[e.Cell].readers) * all.readers / max(1, all.writers)
 		e.home = max(homeLeast, min(homeMost, math.Sqrt(ratio)))
 	}
@@ -177,8 +182,11 @@
 	}
 	e := q.writer
 	r.borne[e.role].add(r.now, r.weight(q, e.role), rateWindow)
+	own := !q.hasHold // it read the prompt itself
 	q.stage, q.flowAt, q.flowL, q.hasHold = flowing, r.now, r.streams(e), false
-	if q.far > 0 {
+	if own {
+		r.learnUnread(q, e, ev.Spent)
+	} else if q.far > 0 {
 		l := r.link(q.reader, e)
 		l.perTok.add(r.now, max(0, ev.Spent-r.lag(e))/q.far, 0.3)
 		l.out, q.far = l.out-q.far, 0
@@ -366,6 +374,18 @@
 	r.judge(e, 0)
 }
 
+// learnUnread takes the time of a read that a mixed engine made for itself.
+func (r *Router) learnUnread(q *request, e *engine, spent float64) {
+	k := &r.kinds[e.Kind]
+	k.read.add(q.load, spent, memoryOf)
+	wait := spent - q.load*r.spt(e)
+	e.wait.add(r.now, wait, waitGain)
+	k.wait.add(r.now, wait, poolGain)
+	if q.Session != "" {
+		r.sessions[q.Session] = session{q.PromptLen, r.now, e}
+	}
+}
+
 func (r *Router) learnStream(q *request, e *engine) {
 	r.judge(e, 0)
 	tokens := r.answerTokens(q)
@@ -460,7 +480,7 @@
 
 // wait is how much longer a reader takes than its load of ours explains.
 func (r *Router) wait(e *engine) float64 {
-	return e.wait.get(r.now, r.kinds[e.Kind].wait.get(r.now, 0, 0), waitForget)
+	return e.wait.get(r.now, r.kinds[e.Kind].wait.get(r.now, 0, forget), waitForget)
 }
 
 func (r *Router) lag(e *engine) float64 {
@@ -522,6 +542,11 @@
 	for _, x := range e.reads {
 		load += x.tokens + overhead
 	}
+	for _, x := range e.jobs {
+		if unread(x) {
+			load += x.tokens + overhead
+		}
+	}
 	return max(0, r.wait(e)+load*r.spt(e)), tokens, load
 }
 
@@ -630,6 +655,9 @@
 		if from.Cell != e.Cell {
 			room -= r.farCost(q, from, e, left)
 		}
+		if e.role == Mixed {
+			room -= mixedLast // it reads for itself: states that come slow both
+		}
 		if from.Zone != e.Zone {
 			room -= 0.5
 		}
@@ -653,7 +681,9 @@
 // readers returns the usable readers in weighted rendezvous order of the shared beginning, else the session,
 // the same at all routers. A hot beginning has homes by its part of our arrivals; sessions share them.
 func (r *Router) readers(q *request) []*engine {
-	xs := r.pool(func(e *engine) bool { return e.role == Read && r.coldRoom(q, e) })
+	xs := r.pool(func(e *engine) bool {
+		return (e.role == Read || e.role == Mixed && r.maySend(q, e)) && r.coldRoom(q, e)
+	})
 	key := q.Prefix
 	if key == "" {
 		key = q.Session
@@ -693,6 +723,13 @@
 	}
 }
 
+// sendUnread has an engine read and answer.
+func (r *Router) sendUnread(q *request, e *engine) {
+	var t float64
+	t, q.tokens, q.load = r.readTime(q, e)
+	r.sendWrite(q, e, t)
+}
+
 // sendWrite sends a read request (or an unread one, as a fallback) to a writer.
 func (r *Router) sendWrite(q *request, w *engine, extra float64) {
 	r.admitTo(q, w)
@@ -772,9 +809,10 @@
 func (r *Router) bestCase(q *request) float64 {
 	t, lag := math.Inf(1), math.Inf(1)
 	for _, e := range r.list {
-		if e.State == Ready && e.role == Read {
+		if e.State == Ready && e.role != Write {
 			t = min(t, max(32, q.PromptLen-r.keptAt(q, e))*r.spt(e))
-		} else if e.State == Ready {
+		}
+		if e.State == Ready && e.role != Read {
 			lag = min(lag, r.lag(e))
 		}
 	}
@@ -801,50 +839,87 @@
 	return high
 }
 
+// answerer returns who would answer what e reads in t: a mixed engine itself, if it passes, so that no state
+// moves; else the best writer that passes. The low tier has no first-token time to keep.
+func (r *Router) answerer(q *request, e *engine, t float64, low bool) *engine {
+	left := q.aim - r.now - readSlack*t
+	if low {
+		left = math.Inf(1)
+	}
+	if e.role != Mixed {
+		return r.bestWriter(q, e, left, false)
+	}
+	if _, pace, fits := r.room(e, q); !pace || !fits || left < 0 {
+		return nil
+	}
+	return e
+}
+
+// spare tells whether e can read, in t, what comes too late anyway and make nobody else late: a newcomer of
+// any class right behind it would still start in time, by what all reads have lately shown and four times its
+// mean error. Where many routers have a request or two each, our empty high tier tells nothing of theirs.
+func (r *Router) spare(e *engine, t float64) bool {
+	t += spreadOver * r.spread[e.role].get(r.now, 0, 0)
+	for i, c := range r.cfg.Classes {
+		p := r.classes[i].prompt.v
+		if readSlack*(t+(p+overhead)*r.spt(e)) > c.Aim+c.AimPerK*p/1000 {
+			return false
+		}
+	}
+	return true
+}
+
 // admit finds a reader and a writer for a held request and starts the read. The home passes to the next in
 // order only when that has the first token in half the time and less.
-func (r *Router) admit(q *request, untested bool) bool {
+func (r *Router) admit(q *request, low bool) bool {
 	rds := r.readers(q)
 	if q.sent+2 <= r.cfg.Limits.MaxAttempts {
 		var rd, w *engine
 		least := math.Inf(1)
 		for _, e := range rds[:min(homeChoices, len(rds))] {
 			t, _, _ := r.readTime(q, e)
-			if untested && len(e.reads) >= lowReads || homeSlack+homeFactor*t >= least {
-				continue // the low tier must not crowd out the high, here or at other routers
+			if homeSlack+homeFactor*t >= least || low && !r.spare(e, t) {
+				continue
 			}
-			if x := r.bestWriter(q, e, q.aim-r.now-readSlack*t, untested); x != nil {
-				if t += r.lag(x) + r.moveTime(q, e, x); homeSlack+homeFactor*t < least || rd == nil {
+			if x := r.answerer(q, e, t, low); x != nil {
+				if x != e {
+					t += r.lag(x) + r.moveTime(q, e, x)
+				}
+				if homeSlack+homeFactor*t < least || rd == nil {
 					rd, w, least = e, x, t
 				}
 			}
 		}
-		if rd != nil {
+		if rd != nil && rd == w {
+			r.sendUnread(q, w)
+		} else if rd != nil {
 			r.sendRead(q, rd, w)
+		}
+		if rd != nil {
 			return true
 		}
 	}
 	last := len(rds) == 0 || q.sent+1 == r.cfg.Limits.MaxAttempts
-	return (last || !untested) && r.admitUnread(q, untested, last)
+	return last && r.admitUnread(q)
 }
 
-// admitUnread: a mixed engine (or a writer, under local_read) reads the prompt, slowing its answers. Any does
-// when no reader is in sight or one attempt is left. While readers are merely late only a mixed one does, one
-// prompt at a time, in time: writers that read fall behind, and the fleet with them (i263144, iaa9861).
-func (r *Router) admitUnread(q *request, untested, last bool) bool {
+// admitUnread: when no reader is in sight or one attempt is left, any mixed engine (or a writer, under
+// local_read) reads the prompt. While readers are merely late only homes do: writers that read fall behind,
+// and the fleet with them (i263144, iaa9861).
+func (r *Router) admitUnread(q *request) bool {
 	var best *engine
-	bestRoom, read := math.Inf(-1), q.PromptLen*2*firstSpt
+	bestRoom := math.Inf(-1)
 	for _, e := range r.pool(func(e *engine) bool {
-		can := e.role == Mixed || e.role == Write && last && r.cfg.LocalRead
-		return can && (last || !slices.ContainsFunc(e.jobs, unread)) && r.maySend(q, e) && r.coldRoom(q, e)
+		can := e.role == Mixed || e.role == Write && r.cfg.LocalRead
+		return can && r.maySend(q, e) && r.coldRoom(q, e)
 	}) {
 		room, pace, fits := r.room(e, q)
-		if pace && fits && room > bestRoom && (untested || r.now+r.lag(e)+read < q.aim) {
+		if pace && fits && room > bestRoom {
 			best, bestRoom = e, room
 		}
 	}
 	if best != nil {
-		r.sendWrite(q, best, read)
+		r.sendUnread(q, best)
 	}
 	return best != nil
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -376,23 +376,70 @@
 	}
 }
 
-func TestLowTierWaitsWhereTwoReadsOfOursAreOut(t *testing.T) {
+// At many routers every high tier is nearly always empty: what comes too late is read only where a newcomer right
+// behind it would still come in time, by what reads have lately shown.
+func TestLowTierIsReadOnlyWhereItMakesNobodyLate(t *testing.T) {
+	for wait, want := range map[float64]int{0: 1, 0.9: 0} {
+		r := start(t, testConfig(), fleet())
+		r.now = 1
+		r.arrive(ask("a", 0))
+		r.byID["a"].low = true
+		r.kinds[0].wait.add(1, wait, 1)
+		if got := len(of[Send](r.Step(1, nil))); got != want {
+			t.Errorf("reads wait %g s: %d sent, want %d", wait, got, want)
+		}
+	}
 	r := start(t, testConfig(), fleet())
 	r.now = 1
 	r.arrive(ask("a", 0))
 	r.byID["a"].low = true
-	busy := func(n int) {
-		for _, e := range r.list {
-			e.reads = make([]*request, n)
-			for i := range e.reads {
-				e.reads[i] = &request{Request: ask("x", 0), stage: reading, reader: e, sentAt: 1, expect: 9}
+	r.spread[Read].add(1, 0.4, 1) // no wait is known, but predictions have been off
+	none[Send](t, r.Step(1, nil))
+}
+
+// Nothing was sent to readers once thought full, so nothing was learned of them, and nothing was sent.
+func TestWaitsOnceLearnedFadeWhileNothingIsRead(t *testing.T) {
+	r := start(t, testConfig(), fleet())
+	r.now = 1
+	for _, e := range r.list {
+		e.wait.add(1, 3, 1)
+	}
+	r.kinds[0].wait.add(1, 3, 1)
+	none[Send](t, r.Step(1, []Event{ask("a", 0)}))
+	one[Send](t, r.Step(41, []Event{ask("b", 0)}))
+}
+
+// A mixed engine is a home as readers are, for fewer beginnings. It answers what it reads, so that no state moves,
+// and what readers have read goes to it only when no writer passes.
+func TestMixedEnginesAreHomes(t *testing.T) {
+	m := Members{Form: ListFull}
+	for i := range 4 {
+		m.Engines = append(m.Engines, eng(fmt.Sprint("r", i), 0, i), eng(fmt.Sprint("w", i), 1, i), eng(fmt.Sprint("m", i), 2, i))
+	}
+	r := start(t, testConfig(), m)
+	homes, now := map[byte]int{}, 1.0
+	for i := range 300 {
+		q := ask(fmt.Sprint("q", i), 0)
+		q.Prefix = fmt.Sprint("p", i)
+		s := one[Send](t, r.Step(now, []Event{q}))
+		homes[s.Engine[0]]++
+		if s.Engine[0] == 'm' {
+			r.Step(now+0.05, []Event{First{ID: q.ID, Engine: s.Engine, Spent: 0.05}})
+			acts := r.Step(now+0.1, []Event{Outcome{ID: q.ID, Engine: s.Engine, Status: Served, Closed: true}})
+			none[Release](t, acts)
+		} else {
+			w := one[Send](t, r.Step(now+0.05, []Event{Outcome{ID: q.ID, Engine: s.Engine, Status: Parsed, Spent: 0.05}}))
+			if w.Engine[0] != 'w' {
+				t.Fatalf("%s was given a state though writers pass", w.Engine)
 			}
+			r.Step(now+0.08, []Event{First{ID: q.ID, Attempt: 1, Engine: w.Engine, Spent: 0.03},
+				Outcome{ID: q.ID, Attempt: 1, Engine: w.Engine, Status: Served, Closed: true}})
 		}
+		now += 0.2
+	}
+	if n := homes['m']; n < 60 || n > 140 || homes['r']+n != 300 {
+		t.Fatalf("read by %v; a third by mixed engines was meant", homes)
 	}
-	busy(lowReads)
-	none[Send](t, r.Step(1, nil))
-	busy(lowReads - 1)
-	one[Send](t, r.Step(1.1, nil))
 }
 
 func TestSmallShareSavesUpWholeRequests(t *testing.T) {
