A fleet's run ends by its time, says why tries were lost and when the machine was the limit

Need: under pressure a run printed a hundred breaches of one rule, did not say what clients saw, and could not tell a slow machine from a wrong node.

--- a/internal/cli/badday.go
+++ b/internal/cli/badday.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -59,7 +60,10 @@
 		if err != nil {
 			return nil, err
 		}
-		l := slog.New(slog.NewJSONHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", name)
+		l := slog.New(slog.DiscardHandler)
+		if log != io.Discard { // hundreds of nodes would spend their time on lines that nobody reads
+			l = slog.New(slog.NewJSONHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", name)
+		}
 		return node.Start(cfg, node.WithLogger(l))
 	}
 }
@@ -92,8 +96,16 @@
 			return withCode(ExitRun, err)
 		}
 	}
-	if n := len(r.Violations); n > 0 {
-		return withCode(ExitRules, fmt.Errorf("%d breaches of the rules", n))
+	return verdict(r)
+}
+
+// verdict turns what a day came to into the command's end.
+func verdict(r *badday.Report) error {
+	switch {
+	case r.Broken > 0:
+		return withCode(ExitRules, fmt.Errorf("%d breaches of the rules", r.Broken))
+	case r.Unfinished != "":
+		return withCode(ExitRun, errors.New("the day did not end in time"))
 	}
 	return nil
 }
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -100,10 +100,7 @@
 			return withCode(ExitRun, err)
 		}
 	}
-	if r.Broken > 0 {
-		return withCode(ExitRules, fmt.Errorf("%d breaches of the rules", r.Broken))
-	}
-	return nil
+	return verdict(r)
 }
 
 // residentSelf reads this process' resident bytes.
--- a/lab/badday/report.go
+++ b/lab/badday/report.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"regexp"
 	"slices"
 	"text/tabwriter"
 
@@ -18,16 +20,21 @@
 type Report struct {
 	Name       string             `json:"name"`
 	Seed       uint64             `json:"seed"`
+	Began      float64            `json:"began"` // Unix seconds
 	Length     float64            `json:"length_s"`
 	Rows       []Row              `json:"rows"`
 	Violations []rules.Violation  `json:"violations"`
 	Records    int                `json:"records"`
-	Broken     int                `json:"broken"` // breaches; Violations holds the first of them
+	Broken     int                `json:"broken"` // breaches; Violations holds the first of each rule
+	ByRule     map[int]int        `json:"broken_by_rule"`
+	Machine    Machine            `json:"machine"`
+	Unfinished string             `json:"unfinished,omitempty"` // what still ran when the day was cut off
 	Cold       rules.ColdUse      `json:"cold_use"`
 	Fairness   map[string]float64 `json:"fairness"`    // Jain's index of work over the engines of a kind
 	ReadyP99   float64            `json:"ready_p99_s"` // from the start of a node until it is ready
 	Starts     int                `json:"node_starts"`
 	Series     []Point            `json:"series"`
+	Lost       map[string]int     `json:"lost_why"` // tries that had no answer, by what the client saw
 }
 
 // Row is what happened to the operations of a class that were first asked while a trouble was on.
@@ -75,6 +82,7 @@
 	series  []Point
 	window  map[string]float64 // work that arrived at each engine since the last point
 	kinds   map[string]string  // of engines
+	lost    map[string]int     // tries without an answer, by what the client saw
 	up      int
 }
 
@@ -99,7 +107,7 @@
 
 func newTally(s *Script, start float64) *tally {
 	return &tally{s: s, start: start, ops: map[string]*outcome{}, rows: map[[2]string]*Row{}, sent: map[string]float64{},
-		tenants: map[string]*part{}, window: map[string]float64{}, kinds: kindsOf(s)}
+		tenants: map[string]*part{}, window: map[string]float64{}, kinds: kindsOf(s), lost: map[string]int{}}
 }
 
 func kindsOf(s *Script) map[string]string {
@@ -144,6 +152,9 @@
 	case x.Kind == record.Answer && x.Outcome == record.Served:
 		now.Served++
 	}
+	if x.Kind == record.Answer && x.Outcome != record.Served && x.Outcome != record.Refused && x.Outcome != record.Failed {
+		t.why(x)
+	}
 	o := t.ops[x.Op]
 	switch {
 	case x.Kind == record.Ask && o == nil:
@@ -176,6 +187,20 @@
 	}
 }
 
+// addresses are of no use where causes are counted.
+var addresses = regexp.MustCompile(`"http://[^"]*"|\d+\.\d+\.\d+\.\d+:\d+`)
+
+const mostCauses = 50
+
+// why counts what a client saw in place of an answer.
+func (t *tally) why(x record.Record) {
+	cause := string(x.Outcome) + ": " + addresses.ReplaceAllString(x.Note, "…")
+	if _, known := t.lost[cause]; !known && len(t.lost) >= mostCauses {
+		cause = "others"
+	}
+	t.lost[cause]++
+}
+
 // close counts what is left and returns the rows.
 func (t *tally) close() []Row {
 	for _, o := range t.ops {
@@ -285,19 +310,37 @@
 			x.Late, x.Refused, x.Failed, x.Lost, x.Left, x.First50, x.First99, x.PerS)
 	}
 	t.Flush()
+	if len(r.Lost) > 0 {
+		fmt.Fprintln(w, "\ntries without an answer, by what the client saw:")
+		for _, cause := range slices.SortedFunc(maps.Keys(r.Lost), func(a, b string) int {
+			return cmp.Or(cmp.Compare(r.Lost[b], r.Lost[a]), cmp.Compare(a, b))
+		}) {
+			fmt.Fprintf(w, "  %6d  %s\n", r.Lost[cause], cause)
+		}
+	}
+	fmt.Fprintf(w, "\n%s\n", r.Machine)
+	if r.Unfinished != "" {
+		fmt.Fprintf(w, "cut off: %s\n", r.Unfinished)
+	}
 	if len(r.Violations) == 0 {
 		fmt.Fprintf(w, "\nno rule broken, by %d records of the sockets\n", r.Records)
 		return
 	}
-	fmt.Fprintf(w, "\n%d BREACHES OF THE RULES\n", len(r.Violations))
-	for i, v := range r.Violations {
-		if i == 20 {
-			fmt.Fprintf(w, "… and %d more\n", len(r.Violations)-i)
-			break
+	fmt.Fprintf(w, "\n%d BREACHES OF THE RULES\n", r.Broken)
+	for _, rule := range slices.Sorted(maps.Keys(r.ByRule)) {
+		fmt.Fprintf(w, "rule %d, %d times; the first:\n", rule, r.ByRule[rule])
+		shown := 0
+		for _, v := range r.Violations {
+			if v.Rule == rule && shown < shownOfRule {
+				shown++
+				fmt.Fprintf(w, "  %6.1f s  %s\n", v.T-r.Began, v)
+			}
 		}
-		fmt.Fprintln(w, v)
 	}
 }
 
+// shownOfRule is how many breaches of each rule are printed in full; the JSON report has more.
+const shownOfRule = 5
+
 // JSON writes the report for programs.
 func (r *Report) JSON() ([]byte, error) { return json.MarshalIndent(r, "", " ") }
--- a/lab/badday/run.go
+++ b/lab/badday/run.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"time"
 
@@ -125,7 +126,7 @@
 		d.stopNodes()
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, seconds(s.Length+60))
+	ctx, cancel := context.WithTimeout(ctx, seconds(s.Length+overtime))
 	defer cancel()
 	d.ctx = ctx
 	d.start = time.Now()
@@ -138,11 +139,42 @@
 		stop := d.progress(judge, counts)
 		defer stop()
 	}
+	meter := startMeter()
 	d.arrivals()
-	d.work.Wait()
+	unfinished := d.finish(ctx)
+	machine := meter.stop()
 	d.settle()
 	d.stopNodes()
-	return d.report(judge, counts), nil
+	n := d.log.Len()
+	var rep *Report
+	d.log.Hold(func() { rep = d.report(judge, counts) })
+	rep.Records, rep.Machine, rep.Unfinished = n, machine, unfinished
+	return rep, nil
+}
+
+// How long after its length a day may go on until its clients are told to stop (s), and how long after that until it is
+// judged without what still runs.
+const (
+	overtime = 30.0
+	lastWait = 20.0
+)
+
+// finish waits until all clients and troubles have ended; past its time, or told to stop, it waits a bounded while and
+// says what it did not wait for.
+func (d *day) finish(ctx context.Context) (unfinished string) {
+	ended := make(chan struct{})
+	go func() { d.work.Wait(); close(ended) }()
+	select {
+	case <-ended:
+		return ""
+	case <-ctx.Done():
+	}
+	select {
+	case <-ended:
+		return ""
+	case <-time.After(seconds(lastWait)):
+		return fmt.Sprintf("clients or troubles still ran %.0f s after the day was to end; goroutines: %d", lastWait, runtime.NumGoroutine())
+	}
 }
 
 // progress tells now and then how the day goes.
@@ -195,9 +227,10 @@
 
 // report sums a day up.
 func (d *day) report(judge *rules.Judge, counts *tally) *Report {
-	rep := &Report{Name: d.s.Name, Seed: d.s.Seed, Length: d.s.Length, Violations: judge.Close(), Records: d.log.Len(),
+	rep := &Report{Name: d.s.Name, Seed: d.s.Seed, Length: d.s.Length, Violations: judge.Close(),
 		Fairness: map[string]float64{}, Starts: d.starts}
-	rep.Rows, rep.Broken, rep.Cold = counts.close(), judge.Broken(), judge.Cold()
+	rep.Rows, rep.Broken, rep.ByRule, rep.Cold = counts.close(), judge.Broken(), judge.ByRule(), judge.Cold()
+	rep.Began = counts.start
 	rep.ReadyP99 = float64(d.ready.ValueAtQuantile(99)) / 1e6
 	byKind := map[string][]float64{}
 	for _, m := range d.fleet.Members() {
@@ -211,7 +244,7 @@
 		parts = append(parts, x.inTime/max(1, x.asked))
 	}
 	rep.Fairness["tenants"] = jain(parts)
-	rep.Series = counts.series
+	rep.Series, rep.Lost = counts.series, counts.lost
 	return rep
 }
 
--- a/lab/rules/rules.go
+++ b/lab/rules/rules.go
@@ -114,7 +114,7 @@
 	weights map[string]*mean
 	swept   float64
 	out     []Violation
-	broken  int
+	broken  map[int]int // breaches by rule
 	most    ColdUse
 }
 
@@ -129,7 +129,7 @@
 func NewJudge(cfg Config) *Judge {
 	return &Judge{cfg: cfg, ops: map[string]*operation{}, kills: map[string][]float64{}, told: map[pair]record.Record{},
 		boots: map[string]float64{}, knows: map[pair]bool{}, sent: map[string][]push{}, holds: map[string]*hold{},
-		weights: map[string]*mean{}}
+		weights: map[string]*mean{}, broken: map[int]int{}}
 }
 
 // Check returns every breach of a run that is over, in order of time.
@@ -179,7 +179,10 @@
 	return x
 }
 
-// Close judges what is left and returns the breaches that are kept, the first hundred.
+// keptOfRule is how many breaches of each rule are kept with their text.
+const keptOfRule = 25
+
+// Close judges what is left and returns the breaches that are kept, the first of each rule.
 func (j *Judge) Close() []Violation {
 	for len(j.buffer) > 0 {
 		j.see(heap.Pop(&j.buffer).(pending).Record)
@@ -194,14 +197,22 @@
 	return j.out
 }
 
-// Broken returns how many breaches there were.
-func (j *Judge) Broken() int { return j.broken }
+// Broken returns how many breaches there were; ByRule, of which rule (0 = a wrong text).
+func (j *Judge) Broken() (n int) {
+	for _, k := range j.broken {
+		n += k
+	}
+	return n
+}
+
+// ByRule returns how many breaches there were of each rule.
+func (j *Judge) ByRule() map[int]int { return maps.Clone(j.broken) }
 
 // Cold returns how near sends to a cold engine came to their budget.
 func (j *Judge) Cold() ColdUse { return j.most }
 
 func (j *Judge) breach(rule int, t float64, format string, args ...any) {
-	if j.broken++; len(j.out) < 100 {
+	if j.broken[rule]++; j.broken[rule] <= keptOfRule {
 		j.out = append(j.out, Violation{rule, t, fmt.Sprintf(format, args...)})
 	}
 }
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -212,14 +212,22 @@
 		return
 	}
 	r.end()
+	e.forget(r) // before the connections are waited for: on a busy machine that takes seconds
 	s.Close()
 	r.work.Wait()
+	e.forget(r) // and what a read added meanwhile
+	e.log.Add(record.Record{Kind: record.Died, Engine: e.ID})
+}
+
+// forget drops all states, as a process that dies does.
+func (e *Engine) forget(r *life) {
 	r.mu.Lock()
-	for id := range r.states {
-		e.log.Add(record.Record{Kind: record.StateEnd, Engine: e.ID, State: id, Note: "died"})
+	defer r.mu.Unlock()
+	for id, s := range r.states {
+		e.log.Add(record.Record{Kind: record.StateEnd, Engine: e.ID, State: id, Op: s.mark.Op, Try: s.mark.Try, Note: "died"})
+		delete(r.states, id)
+		r.memory -= s.tokens
 	}
-	r.mu.Unlock()
-	e.log.Add(record.Record{Kind: record.Died, Engine: e.ID})
 }
 
 // Address is where the engine listens, from its first start on.
