A node that cannot keep up refuses early: lag, descriptors and bytes decide (strain)

'Too many connections' was written before the request had been read and lost to a reset.

A request's time runs from its first byte, less the lag. Clients without a place get a short stay in a lobby where their request is read and refused with a return time that is spread; connections that rest make room.

--- a/internal/cli/badday.go
+++ b/internal/cli/badday.go
@@ -13,6 +13,7 @@
 
 	"dillroute/internal/config"
 	"dillroute/internal/node"
+	"dillroute/internal/service"
 	"dillroute/lab/badday"
 
 	"github.com/spf13/cobra"
@@ -81,7 +82,7 @@
 		log = f
 	}
 	start := time.Now()
-	r, err := badday.Run(ctx, s, badday.Options{Launch: launcher(log), Out: out})
+	r, err := badday.Run(ctx, s, badday.Options{Launch: launcher(log), Out: out, Files: service.Files()})
 	if err != nil {
 		return withCode(ExitRun, err)
 	}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"dillroute/internal/service"
 	"dillroute/lab/badday"
 	"dillroute/lab/chart"
 
@@ -66,7 +67,9 @@
 		fmt.Fprintf(out, "\r%5.0f of %.0f s  %d nodes up, %d starts  %d served in time of %d  cold budget %.0f%%  %d breaches   ",
 			q.T, q.Length, q.Up, q.Starts, q.InTime, q.Ended, 100*q.Cold, q.Broken)
 	}}
+	o.Files = service.Files()
 	if processes {
+		o.Files = 0
 		dir, err := os.MkdirTemp("", "dillroute-fleet-")
 		if err != nil {
 			return withCode(ExitRun, err)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -92,6 +92,7 @@
 	ParallelTries   bool    `json:"parallel_tries"`
 	MaxOpen         int     `json:"max_open"`
 	MaxConnections  int     `json:"max_connections"`
+	Files           int     `json:"files"`
 	MaxBody         int64   `json:"max_body_bytes"`
 	MaxHeld         int64   `json:"max_held_bytes"`
 	MaxEvent        int     `json:"max_event_bytes"`
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -107,11 +107,22 @@
 	}
 }
 
+// CloseIdle closes the idle connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop()
+}
+
 // Close closes the idle connections and keeps no more.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	p.drop()
+}
+
+func (p *Pool) drop() {
 	for _, xs := range p.idle {
 		for _, c := range xs {
 			c.Close()
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -13,11 +13,12 @@
 // a time; Hangup may come at any moment.
 type Exchange struct {
 	*Request
-	c      *conn
-	done   chan struct{}
-	state  atomic.Int32 // one of the phases below
-	close  bool         // set by the answer, read after done
-	waking atomic.Bool  // the answer has ended; done is about to close
+	Arrived time.Time // when its first byte was seen
+	c       *conn
+	done    chan struct{}
+	state   atomic.Int32 // one of the phases below
+	close   bool         // set by the answer, read after done
+	waking  atomic.Bool  // the answer has ended; done is about to close
 
 	mu       sync.Mutex
 	onHangup func(half bool)
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -248,7 +248,7 @@
 
 func TestHeldBytesAndConnectionsAreBounded(t *testing.T) {
 	release := make(chan struct{})
-	s := &Server{MaxBytes: 1000, MaxConns: 3, Handler: HandlerFunc(func(x *Exchange) {
+	s := &Server{MaxBytes: 1000, MaxConns: func() int { return 3 }, Handler: HandlerFunc(func(x *Exchange) {
 		go func() { <-release; x.Reply(200, nil, nil) }()
 	})}
 	addr := serve(t, s)
@@ -513,3 +513,65 @@
 		t.Fatal("Close waits for an answer that nobody gives")
 	}
 }
+
+// A client that finds no place is told so: a refusal written before its request was read was lost to a reset, and
+// thousands of clients of a crowded node saw a cut connection.
+func TestClientsWithoutAPlaceReadTheirRefusal(t *testing.T) {
+	hold := make(chan struct{})
+	s := &Server{MaxConns: func() int { return 1 }, Handler: HandlerFunc(func(x *Exchange) {
+		go func() { <-hold; x.Reply(200, nil, nil) }()
+	})}
+	addr := serve(t, s)
+	first := dial(t, addr)
+	io.WriteString(first, ok+"\r\n")
+	for s.Conns() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	client := &http.Client{Transport: &http.Transport{}, Timeout: 20 * time.Second}
+	defer client.CloseIdleConnections()
+	errs := make(chan error, 200)
+	for range cap(errs) {
+		go func() {
+			resp, err := client.Post("http://"+addr+"/", "application/json", strings.NewReader(strings.Repeat("x", 900)))
+			if err == nil {
+				resp.Body.Close()
+				if resp.StatusCode != 503 {
+					err = fmt.Errorf("status %d", resp.StatusCode)
+				}
+			}
+			errs <- err
+		}()
+	}
+	for range cap(errs) {
+		if err := <-errs; err != nil {
+			t.Error(err)
+		}
+	}
+	close(hold)
+}
+
+// One that rests makes room for one that asks.
+func TestRestingConnectionMakesRoom(t *testing.T) {
+	s := &Server{MaxConns: func() int { return 1 }}
+	addr := serve(t, s)
+	first := dial(t, addr)
+	io.WriteString(first, ok+"\r\n")
+	if resp, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+	for {
+		second := dial(t, addr)
+		io.WriteString(second, ok+"\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(second), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode == 200 {
+			break // the first one had rested for long enough
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if _, err := first.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatalf("the first connection is still open: %v", err)
+	}
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -8,6 +8,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -37,16 +38,20 @@
 	Handler  Handler
 	Limits   Limits
 	Times    Times
-	MaxConns int   // open at once; further ones are answered 503 and closed; 0 = no bound
-	MaxBytes int64 // of request bodies held at once, over all connections; 0 = no bound
+	MaxConns func() int // open at once, asked at each accept; further ones are answered 503 and closed; nil = no bound
+	MaxBytes int64      // of request bodies held at once, over all connections; 0 = no bound
 	// Shared tells that other processes accept from the very same socket: what waits in its queue is theirs, so a
 	// drain stops accepting at once.
 	Shared bool
+	// Short is told that a connection could not be accepted for want of descriptors, and how many are open; nil = nobody is.
+	Short func(open int)
 	// Fault writes the body of an answer to a request that could not be parsed; nil = plain text.
 	Fault func(status int, reason string) (fields []Field, body []byte)
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
+	lobby    int       // of conns, those that are being refused
+	room     sync.Cond // of the lobby; its lock is mu
 	listener net.Listener
 	draining atomic.Bool
 	held     atomic.Int64
@@ -59,6 +64,7 @@
 	nc   net.Conn
 	br   *bufio.Reader
 	idle atomic.Bool              // between requests
+	rest atomic.Int64             // Unix nanoseconds since when it is idle
 	x    atomic.Pointer[Exchange] // the latest, which Close must not wait for
 }
 
@@ -70,6 +76,7 @@
 	s.listener = l
 	if s.conns == nil {
 		s.conns = map[*conn]struct{}{}
+		s.room.L = &s.mu
 	}
 	s.mu.Unlock()
 	for {
@@ -81,6 +88,12 @@
 			}
 			var ne net.Error
 			if errors.As(err, &ne) { // out of descriptors and the like: others may close meanwhile
+				if NoFiles(err) {
+					s.CloseIdle(1)
+					if s.Short != nil {
+						s.Short(s.Conns())
+					}
+				}
 				time.Sleep(5 * time.Millisecond)
 				continue
 			}
@@ -90,32 +103,97 @@
 	}
 }
 
+// start gives a connection its goroutine. Where no place is free it gets one in the lobby, which is for no longer than
+// it takes to read a head and refuse: a refusal written before the request had been read would be lost to a reset. Where
+// the lobby is full too, nothing more is accepted until somebody leaves it.
 func (s *Server) start(nc net.Conn) {
 	c := &conn{srv: s, nc: nc}
 	c.idle.Store(true)
 	s.mu.Lock()
-	full := s.MaxConns > 0 && len(s.conns) >= s.MaxConns
-	if !full {
-		s.conns[c] = struct{}{}
-		s.wg.Add(1)
+	full := s.MaxConns != nil && len(s.conns)-s.lobby >= s.MaxConns()
+	if full {
+		full = s.closeIdle(1) == 0 // one that rests makes room for one that asks
 	}
-	s.mu.Unlock()
 	if full {
-		nc.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
-		c.fault(&Error{503, "too many connections"})
-		nc.Close()
-		return
+		for s.lobby >= lobbyMost && !s.draining.Load() {
+			s.room.Wait()
+		}
+		s.lobby++
 	}
+	s.conns[c] = struct{}{}
+	s.wg.Add(1)
+	s.mu.Unlock()
 	go func() {
 		defer s.wg.Done()
-		c.serve()
+		if full {
+			c.turnAway()
+		} else {
+			c.serve()
+		}
 		nc.Close()
 		s.mu.Lock()
 		delete(s.conns, c)
+		if full {
+			s.lobby--
+			s.room.Signal()
+		}
 		s.mu.Unlock()
 	}()
 }
 
+// The lobby: connections that are refused at a time, and how long their heads may take.
+const (
+	lobbyMost = 32
+	lobbyTime = time.Second
+)
+
+// turnAway reads one request's head and refuses it.
+func (c *conn) turnAway() {
+	c.br = bufio.NewReaderSize(c.nc, readBuffer)
+	c.nc.SetReadDeadline(time.Now().Add(lobbyTime))
+	if _, err := ReadRequest(c.br, c.srv.Limits); err != nil {
+		c.reject(err)
+		return
+	}
+	c.reject(&Error{503, "too many connections"})
+}
+
+// CloseIdle closes up to n connections that have rested longest between requests, and tells how many.
+func (s *Server) CloseIdle(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closeIdle(n)
+}
+
+// closeIdle is CloseIdle under the lock. Only what has rested for a while is closed: a request may be on its way to the
+// others.
+func (s *Server) closeIdle(n int) (closed int) {
+	for ; closed < n; closed++ {
+		var oldest *conn
+		before := time.Now().Add(-restedFor).UnixNano()
+		for c := range s.conns {
+			if at := c.rest.Load(); c.idle.Load() && at > 0 && at < before {
+				oldest, before = c, at
+			}
+		}
+		if oldest == nil {
+			return closed
+		}
+		oldest.rest.Store(0)
+		oldest.nc.SetReadDeadline(time.Unix(1, 0))
+	}
+	return closed
+}
+
+// restedFor is how long a connection has rested before it may be closed to make room.
+const restedFor = 200 * time.Millisecond
+
+// Held returns the bytes of request bodies that are held, over all connections.
+func (s *Server) Held() int64 { return s.held.Load() }
+
+// NoFiles tells whether an error means that the process, or the machine, has no descriptor left.
+func NoFiles(err error) bool { return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) }
+
 // Conns returns the number of open connections.
 func (s *Server) Conns() int {
 	s.mu.Lock()
@@ -130,6 +208,7 @@
 	s.draining.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.room.Broadcast()
 	if l, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok && !s.Shared {
 		l.SetDeadline(time.Now().Add(drainAccept))
 	} else if s.listener != nil {
@@ -167,6 +246,7 @@
 func (s *Server) Close() {
 	s.draining.Store(true)
 	s.mu.Lock()
+	s.room.Broadcast()
 	if s.listener != nil {
 		s.listener.Close()
 	}
@@ -188,6 +268,7 @@
 	wait := s.Times.Head // before the first request a connection gets no idle time
 	for {
 		c.idle.Store(true)
+		c.rest.Store(time.Now().UnixNano())
 		if s.draining.Load() {
 			wait = min(wait, drainIdle)
 		}
@@ -196,7 +277,8 @@
 			return
 		}
 		c.idle.Store(false)
-		c.nc.SetReadDeadline(time.Now().Add(s.Times.Head))
+		arrived := time.Now()
+		c.nc.SetReadDeadline(arrived.Add(s.Times.Head))
 		q, err := ReadRequest(c.br, s.Limits)
 		if err == nil {
 			err = c.body(q)
@@ -205,7 +287,7 @@
 			c.reject(err)
 			return
 		}
-		x := &Exchange{Request: q, c: c, done: make(chan struct{})}
+		x := &Exchange{Request: q, Arrived: arrived, c: c, done: make(chan struct{})}
 		c.x.Store(x)
 		c.nc.SetReadDeadline(time.Time{})
 		s.Handler.Serve(x)
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -11,11 +11,13 @@
 
 // metrics are the node's figures, in a registry of its own.
 type metrics struct {
-	registry *prometheus.Registry
-	answers  *prometheus.CounterVec
-	faults   prometheus.Counter
-	first    prometheus.Histogram
-	steps    prometheus.Histogram
+	registry  *prometheus.Registry
+	answers   *prometheus.CounterVec
+	faults    prometheus.Counter
+	strained  *prometheus.CounterVec
+	shortages prometheus.Counter
+	first     prometheus.Histogram
+	steps     prometheus.Histogram
 }
 
 func newMetrics() *metrics {
@@ -28,7 +30,11 @@
 			Help: "From a request to its first token.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
 		steps: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dillroute_decide_seconds",
 			Help: "Time of one decision pass.", Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14)})}
-	m.registry.MustRegister(m.answers, m.faults, m.first, m.steps)
+	m.strained = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dillroute_strain_refusals_total",
+		Help: "Requests not taken because the node itself does not keep up, by cause."}, []string{"why"})
+	m.shortages = prometheus.NewCounter(prometheus.CounterOpts{Name: "dillroute_file_shortages_total",
+		Help: "Sockets that could not be opened for want of descriptors."})
+	m.registry.MustRegister(m.answers, m.faults, m.first, m.steps, m.strained, m.shortages)
 	return m
 }
 
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -97,6 +97,9 @@
 		if c == nil {
 			return
 		}
+		if r.Err != nil && http1.NoFiles(r.Err) {
+			n.short(n.server.Conns())
+		}
 		if r.Err != nil {
 			n.log.Debug("attempt ended", "request", cmd.ID, "attempt", cmd.N, "engine", cmd.Engine, "error", r.Err.Error())
 		}
@@ -131,6 +134,9 @@
 			o := letgo.Answered
 			if err != nil {
 				o = letgo.Lost
+				if http1.NoFiles(err) {
+					n.short(n.server.Conns())
+				}
 				n.log.Debug("state not released", "request", cmd.ID, "engine", cmd.Engine, "error", err.Error())
 			}
 			at, again := plan.Next(n.core.clock.now(), o)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -37,10 +37,12 @@
 	side   func(now float64, a brain.Action)   // an action that is the host's alone
 	decide func(seconds float64)               // is told how long each decision took
 	broken func(error)                         // is told that the module has failed
+	late   func(now, lag float64)              // is told how late the owner heard of a turn's facts
 
 	mu     sync.Mutex
 	inbox  []func(now float64)
 	spare  []func(now float64)
+	oldest time.Time // when the first fact of the inbox was posted
 	wake   chan struct{}
 	closed bool
 	done   chan struct{} // closed when the owner has ended
@@ -58,6 +60,7 @@
 	}
 	c.inbox = append(c.inbox, f)
 	if len(c.inbox) == 1 {
+		c.oldest = time.Now()
 		select {
 		case c.wake <- struct{}{}:
 		default:
@@ -72,8 +75,12 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for !c.quit {
-		facts := c.drain()
+		facts, waited := c.drain()
 		now := c.clock.now()
+		if at, ok := c.wheel.Next(); ok {
+			waited = max(waited, now-at)
+		}
+		c.late(now, waited)
 		for i, f := range facts {
 			f(now)
 			facts[i] = nil
@@ -100,12 +107,16 @@
 	close(c.done)
 }
 
-func (c *core) drain() []func(float64) {
+// drain takes the facts that have come, and tells how long the first of them has waited (s).
+func (c *core) drain() (facts []func(float64), waited float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	facts := c.inbox
+	facts = c.inbox
 	c.inbox, c.spare = c.spare[:0], facts
-	return facts
+	if len(facts) > 0 {
+		waited = time.Since(c.oldest).Seconds()
+	}
+	return facts, waited
 }
 
 // sleep waits for a fact, the next timer, or the next moment at which the module may be asked.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,7 @@
 	loops   sync.WaitGroup
 	failed  chan error
 	hurry   atomic.Bool
+	strain  *keeping
 	stop    sync.Once
 
 	// Of the owner.
@@ -96,9 +97,10 @@
 		prefix: fmt.Sprintf("%s-%08x", cfg.Node.Name, rand.Uint32()), metrics: newMetrics()}
 	n.setView(cfg)
 	clk := newClock()
+	n.strain = newKeeping(cfg, clk)
 	n.core = &core{clock: clk, beat: rhythm.Beat{Tick: cfg.Tick}, router: router, book: ledger.New(bookConfig(cfg), cfg.Brain().Kinds),
 		wheel: wheel.New[func(float64)](clk.now(), 0.001), wake: make(chan struct{}, 1), done: make(chan struct{}),
-		carry: n.carry, side: n.side, decide: n.metrics.decided, broken: n.breakDown}
+		carry: n.carry, side: n.side, decide: n.metrics.decided, broken: n.breakDown, late: n.strain.late}
 	n.engines = &engine.Client{Node: cfg.Node.Name, Key: cfg.Engines.Key, Connect: seconds(cfg.Limits.Connect),
 		Stall: func() time.Duration { return seconds(n.view.Load().cfg.Limits.Stall) }, MaxEvent: cfg.Limits.MaxEvent,
 		Pool: &http1.Pool{MaxIdle: cfg.Limits.EngineIdleConns, Idle: seconds(cfg.Limits.EngineIdle),
@@ -153,8 +155,8 @@
 	lim := http1.DefaultLimits
 	lim.Body = cfg.Limits.MaxBody
 	n.addr = l.Addr()
-	n.server = &http1.Server{Shared: handed, Handler: http1.HandlerFunc(n.serve), Limits: lim, MaxConns: cfg.Limits.MaxConnections,
-		MaxBytes: cfg.Limits.MaxHeld, Fault: fault,
+	n.server = &http1.Server{Shared: handed, Handler: http1.HandlerFunc(n.serve), Limits: lim, MaxConns: n.strain.connections,
+		MaxBytes: cfg.Limits.MaxHeld, Short: n.short, Fault: n.fault,
 		Times: http1.Times{Head: seconds(cfg.Limits.Head), Body: seconds(cfg.Limits.Body), Idle: seconds(cfg.Limits.Idle),
 			Write: seconds(cfg.Limits.Write)}}
 	if al == nil && cfg.Admin != "" {
@@ -166,7 +168,7 @@
 	if al != nil {
 		n.aaddr = al.Addr()
 		n.admin = &http1.Server{Handler: http1.HandlerFunc(n.serveAdmin), Limits: http1.DefaultLimits,
-			Times: http1.DefaultTimes, MaxConns: 100, MaxBytes: 1 << 20}
+			Times: http1.DefaultTimes, MaxConns: func() int { return 100 }, MaxBytes: 1 << 20}
 		n.go_(func() { n.admin.Serve(al) })
 	}
 	n.go_(func() { n.server.Serve(l) })
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dillroute/brain"
+	"dillroute/internal/decide/strain"
 	"dillroute/internal/engine"
 	"dillroute/internal/front"
 	"dillroute/internal/http1"
@@ -15,10 +16,13 @@
 	"encoding/json"
 )
 
-// fault is the body of an answer to a request that could not be parsed.
-func fault(status int, reason string) ([]http1.Field, []byte) {
-	retry := status == 408 || status == 503
-	return append(front.RetryFields(retry, 0), front.JSONType), front.ErrorJSON(status, faultCode(status), "", reason)
+// fault is the body of an answer to a request that could not be parsed, or for which there is no place.
+func (n *Node) fault(status int, reason string) ([]http1.Field, []byte) {
+	retry, after := status == 408 || status == 503, 0.0
+	if status == 503 {
+		after = n.strain.back()
+	}
+	return append(front.RetryFields(retry, after), front.JSONType), front.ErrorJSON(status, faultCode(status), "", reason)
 }
 
 func faultCode(status int) string {
@@ -144,7 +148,7 @@
 		}
 		stated = f / 1000
 	}
-	c := &call{x: x, chat: chat, extra: passOn(x), started: time.Now(),
+	c := &call{x: x, chat: chat, extra: passOn(x), started: x.Arrived,
 		id:       n.prefix + "-" + strconv.FormatUint(n.serial.Add(1), 36),
 		attempts: map[int]*engine.Attempt{}, grants: map[int]chan bool{}, states: map[int]json.RawMessage{},
 		replies: map[int]reply{}}
@@ -162,8 +166,22 @@
 	}
 }
 
-// take enters a request in the book.
+// take enters a request in the book, if the node keeps up. Its client's time runs from its first byte, whatever has
+// passed since; our own lag is taken off.
 func (n *Node) take(now float64, c *call, q brain.Request, whole float64) {
+	patience := q.TimeLeft
+	v := n.strain.take(now, strain.Request{Patience: patience, Spent: time.Since(c.x.Arrived).Seconds(), Held: n.server.Held()})
+	if !v.OK {
+		n.metrics.strained.WithLabelValues(v.Why).Inc()
+		n.metrics.answered("turned_away")
+		n.reply(c, 503, append(front.RetryFields(true, v.RetryAfter), front.JSONType),
+			front.ErrorJSON(503, "node_overloaded", "", "the node does not keep up now"))
+		return
+	}
+	q.TimeLeft = v.TimeLeft
+	if whole > 0 {
+		whole -= patience - v.TimeLeft
+	}
 	no, ok := n.core.book.Request(now, q, whole)
 	if !ok {
 		n.metrics.answered("turned_away")
--- /dev/null
+++ b/internal/node/strain.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"dillroute/internal/config"
+	"dillroute/internal/decide/strain"
+	"dillroute/internal/service"
+)
+
+// keeping is how the node keeps up, as internal/decide/strain judges it. The owner, the accepting goroutine and those
+// of attempts tell it; a lock is enough, for each is told a few numbers.
+type keeping struct {
+	mu    sync.Mutex
+	clock clock
+	state *strain.State
+}
+
+func newKeeping(cfg *config.Config, c clock) *keeping {
+	files := cfg.Limits.Files
+	if files == 0 {
+		files = service.Files()
+	}
+	return &keeping{clock: c, state: strain.New(strain.Limits{Files: files, Connections: cfg.Limits.MaxConnections,
+		Bytes: cfg.Limits.MaxHeld, Slack: cfg.Rules.AnswerSlack})}
+}
+
+// late files how late something was heard of.
+func (k *keeping) late(now, lag float64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.state.Late(now, lag)
+}
+
+// connections is how many clients may be connected now.
+func (k *keeping) connections() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.state.Connections(k.clock.now())
+}
+
+// back says when a client that found no place may come again (s).
+func (k *keeping) back() float64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.state.Return(k.clock.now(), rand.Float64())
+}
+
+// short files that no descriptor was left.
+func (k *keeping) short(open int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.state.Short(k.clock.now(), open)
+}
+
+// take decides on a request.
+func (k *keeping) take(now float64, q strain.Request) strain.Verdict {
+	q.Draw = rand.Float64()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.state.Take(now, q)
+}
+
+// short is told that no descriptor was left: idle connections make room, above all for calls that let go of states.
+func (n *Node) short(open int) {
+	n.strain.short(open)
+	n.engines.Pool.CloseIdle()
+	n.metrics.shortages.Inc()
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -130,3 +130,12 @@
 
 // Release lets another process hold the directory.
 func (s *State) Release() error { return s.lock.Close() }
+
+// Files returns how many descriptors the process may hold; 0 = not known, or without bound.
+func Files() int {
+	var r unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err != nil || r.Cur > 1<<30 {
+		return 0
+	}
+	return int(r.Cur)
+}
--- a/lab/badday/run.go
+++ b/lab/badday/run.go
@@ -42,6 +42,7 @@
 	// Progress is called once a second.
 	Progress func(Progress)
 	Skew     float64 // s that the checker allows for scheduling; 0 = 0.25
+	Files    int     // descriptors of the process that nodes, engines and clients share; 0 = each node has a table of its own
 }
 
 // day is a day under way.
@@ -326,11 +327,15 @@
 		tenants = append(tenants, map[string]any{"name": t.Name, "keys": []string{keyOf(t)}, "quota_per_s": t.Quota})
 	}
 	r := d.s.Rules
+	files := 0
+	if d.o.Files > 0 {
+		files = max(filesLeast, d.o.Files*2/filesOfRequest/d.s.Nodes)
+	}
 	m := map[string]any{"listen": listen, "node": map[string]any{"name": s.name, "rank": s.rank, "nodes": d.s.Nodes, "zone": s.zone},
 		"kinds": kinds, "classes": classes, "models": models, "local_read": d.s.Limits.LocalRead,
 		"tenants": tenants,
 		"engines": map[string]any{"file": d.listFile(s), "poll_s": 0.1},
-		"limits":  map[string]any{"max_attempts": d.s.Limits.MaxAttempts, "stall_s": 5, "shutdown_s": 2},
+		"limits":  map[string]any{"max_attempts": d.s.Limits.MaxAttempts, "stall_s": 5, "shutdown_s": 2, "files": files},
 		"rules": map[string]any{"answer_slack_s": r.AnswerSlack, "drain_grace_s": r.DrainGrace, "cold_share": r.ColdShare,
 			"cold_s": r.ColdS, "fall_multiple": r.FallMultiple, "tip_after_s": r.TipAfter, "let_go_by_s": r.LetGoBy}}
 	if d.lists != nil {
@@ -345,6 +350,13 @@
 	return b
 }
 
+// A request in flight holds five descriptors of a process in which all run: its client's, two of its node, its engine's,
+// and at times one for the move of its state. A node is told of its part, and never of fewer than some.
+const (
+	filesOfRequest = 5
+	filesLeast     = 60
+)
+
 func (d *day) listFile(s *slot) string { return filepath.Join(d.dir, s.name+".json") }
 
 func (d *day) startNodes() error {
--- a/lab/client/client.go
+++ b/lab/client/client.go
@@ -60,7 +60,7 @@
 
 // New returns a client; Close ends its connections.
 func New(key string, l *record.Log) *Client {
-	return &Client{Key: key, Log: l, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64,
+	return &Client{Key: key, Log: l, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8,
 		IdleConnTimeout: 5 * time.Second, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
 }
 
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -131,6 +131,7 @@
 	if err != nil {
 		return err
 	}
+	before := record.Now()
 	_, err = tmp.Write(s.Text)
 	if err = errors.Join(err, tmp.Close()); err == nil {
 		err = os.Rename(tmp.Name(), path)
@@ -139,7 +140,7 @@
 		os.Remove(tmp.Name())
 		return err
 	}
-	f.told(s, node)
+	f.told(s, before, node)
 	return nil
 }
 
@@ -153,15 +154,21 @@
 		}
 		list = append(list, standin.Instance{ID: e.ID, Address: e.Address, Meta: meta})
 	}
+	before := record.Now()
 	server.Set(list)
-	f.told(s, nodes...)
+	f.told(s, before, nodes...)
 }
 
-// told records what nodes were told.
-func (f *Fleet) told(s Snapshot, nodes ...string) {
-	at := record.Now()
+// told records what nodes were told, from a moment on until now: that an engine may be used counts from before, as a node
+// may read it before we come here; that it may not, from now.
+func (f *Fleet) told(s Snapshot, before float64, nodes ...string) {
+	now := record.Now()
 	for _, node := range nodes {
 		for id, state := range s.States {
+			at := now
+			if state == "ready" {
+				at = before
+			}
 			f.log.Add(record.Record{T: at, Kind: record.Told, Node: node, Engine: id, State: state})
 		}
 	}
