--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,7 +17,7 @@
 // Defaults of the design, ours.
 const (
 	window      = 4    // requests at the head of the high tier from which one is drawn
-	readSlack   = 1.3  // times its prediction that the first-token test allows a read; queues grow unseen
+	readSlack   = 1.8  // times its prediction that the first-token test allows a read; queues grow unseen
 	recheck     = 0.02 // s between looks at held requests when nothing else happens
 	paceSlack   = 0.8  // share of the token pace aim that a prediction may use
 	memLimit    = 0.92 // share of a writer's memory that admissions may fill
@@ -29,6 +29,7 @@
 	sharePrior  = 5    // requests of other beginnings that are added to them
 	homeMost    = 1.2  // most of its even part of the beginnings that a reader beside many writers takes
 	mixedHome   = 0.5  // part of a reader's beginnings for which a mixed engine is home, as it writes too
+	lagLeast    = 0.1  // s of time left at least that a writer's lag is held against
 	mixedLast   = 5    // room that a writer must lack before a mixed engine takes what a reader has read
 	homeLeast   = 0.5  // least part of the beginnings that a reader with few writers in its cell takes
 	linePrior   = 1e7  // squared tokens that the line's prior is worth
@@ -235,6 +236,7 @@
 		}
 	case NotSent:
 	default:
+		q.failed = e
 		slow := (ev.Status == NoAnswer || ev.Status == CalledOff) && e.lastGood >= q.sentAt
 		if ev.Status == NoConnection && e.err < errEject {
 			r.eject(e)
@@ -642,9 +644,9 @@
 func (r *Router) bestWriter(q *request, from *engine, left float64, untested bool) *engine {
 	var best *engine
 	most := math.Inf(-1)
-	for _, e := range r.pool(func(e *engine) bool {
+	for _, e := range q.others(r.pool(func(e *engine) bool {
 		return e.role != Read && r.maySend(q, e) && r.coldRoom(q, e)
-	}) {
+	})) {
 		room, pace, fits := r.room(e, q)
 		if !untested && (!pace || !fits || r.lag(e)+r.moveTime(q, from, e) > left) {
 			continue
@@ -658,6 +660,7 @@
 		if e.role == Mixed {
 			room -= mixedLast // it reads for itself: states that come slow both
 		}
+		room -= r.lag(e) / max(lagLeast, min(1, left)) // the part of its time that the first token will take
 		if from.Zone != e.Zone {
 			room -= 0.5
 		}
@@ -681,9 +684,9 @@
 // readers returns the usable readers in weighted rendezvous order of the shared beginning, else the session,
 // the same at all routers. A hot beginning has homes by its part of our arrivals; sessions share them.
 func (r *Router) readers(q *request) []*engine {
-	xs := r.pool(func(e *engine) bool {
+	xs := q.others(r.pool(func(e *engine) bool {
 		return (e.role == Read || e.role == Mixed && r.maySend(q, e)) && r.coldRoom(q, e)
-	})
+	}))
 	key := q.Prefix
 	if key == "" {
 		key = q.Session
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -409,6 +409,39 @@
 	one[Send](t, r.Step(41, []Event{ask("b", 0)}))
 }
 
+// A client's patience is for tries that can succeed: two tries went to an engine that fails at once before it was ejected.
+func TestARetryGoesElsewhere(t *testing.T) {
+	m := Members{Form: ListFull}
+	for i := range 4 {
+		m.Engines = append(m.Engines, eng(fmt.Sprint("r", i), 0, 0), eng(fmt.Sprint("w", i), 1, 0))
+	}
+	r := start(t, testConfig(), m)
+	first := one[Send](t, r.Step(1, []Event{ask("a", 0)})).Engine
+	again := one[Send](t, r.Step(1.01, []Event{Outcome{ID: "a", Engine: first, Status: ServerError, Spent: 0.01}})).Engine
+	if again == first {
+		t.Fatalf("%s failed the request and is asked again", first)
+	}
+	r = start(t, testConfig(), Members{Form: ListFull, Engines: []Engine{eng("r0", 0, 0), eng("w0", 1, 0)}})
+	r.Step(1, []Event{ask("a", 0)})
+	if s := one[Send](t, r.Step(1.01, []Event{Outcome{ID: "a", Engine: "r0", Status: ServerError, Spent: 0.01}})); s.Engine != "r0" {
+		t.Fatalf("%s instead of the only reader", s.Engine)
+	}
+}
+
+// Writers of one cell ran late while others stood idle: what the first token takes counts against a writer's room.
+func TestWriterThatIsSlowToStartIsPassedOver(t *testing.T) {
+	m := Members{Form: ListFull, Engines: []Engine{eng("r0", 0, 0), eng("w0", 1, 0), eng("w1", 1, 0)}}
+	for _, slow := range []string{"w0", "w1"} {
+		r := start(t, testConfig(), m)
+		r.now = 1
+		r.engines[slow].lag.add(1, 0.6, 1)
+		q := &request{Request: ask("q", 0), class: &r.cfg.Classes[0]}
+		if w := r.bestWriter(q, r.engines["r0"], 1, false); w.ID == slow {
+			t.Errorf("%s was taken though its first tokens take 0.6 s", slow)
+		}
+	}
+}
+
 // A mixed engine is a home as readers are, for fewer beginnings. It answers what it reads, so that no state moves,
 // and what readers have read goes to it only when no writer passes.
 func TestMixedEnginesAreHomes(t *testing.T) {
--- a/brain/state.go
+++ b/brain/state.go
@@ -35,6 +35,7 @@
 	mayRun                 bool    // an earlier attempt may have run
 	mayRunAt               float64 // when the first such was sent
 	mayRunOn               *engine // and where
+	failed                 *engine // at which its last attempt failed
 	reader, writer         *engine // of the attempt out or of the state; admitted to
 	hasHold                bool    // a state or place may be held for it
 	holdSince              float64 // time of the last outcome or reservation
@@ -379,6 +380,14 @@
 	slices.SortFunc(r.list, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
 }
 
+// others returns engines less the one that failed the request last, unless it is the only one.
+func (q *request) others(xs []*engine) []*engine {
+	if len(xs) < 2 || q.failed == nil {
+		return xs
+	}
+	return slices.DeleteFunc(xs, func(e *engine) bool { return e == q.failed })
+}
+
 // at is the engine of a request's attempt out.
 func (q *request) at() *engine {
 	if q.stage == reading {
