--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -24,7 +25,8 @@
 func fleetCommand() *cobra.Command {
 	p := badday.FleetPlan{Nodes: 60, Engines: 24, PerS: 100, Length: 60, Restarts: 1, Churn: 0.1, Notice: 0.5, Roll: true, Seed: 1}
 	var processes bool
-	var report, picture string
+	var report, picture, trouble string
+	var release bool
 	c := &cobra.Command{
 		Use:   "fleet",
 		Short: "Run many nodes that share nothing, restart them at random and judge the rules over all of them",
@@ -34,16 +36,23 @@
 run within this process, or with --processes each in one of its own.
 
 ` + exitCodesDoc,
-		Example: "  dillroute fleet\n  dillroute fleet --nodes 300 --engines 40 --rate 150 --seconds 1200 --report fleet.json --plot fleet.png\n  dillroute fleet --processes --nodes 20",
+		Example: "  dillroute fleet\n  dillroute fleet --nodes 300 --engines 40 --rate 150 --seconds 1200 --report fleet.json --plot fleet.png\n  dillroute fleet --nodes 20 --load 1.1 --release --churn 0 --restarts 0\n  dillroute fleet --processes --nodes 20",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return runFleet(p, processes, report, picture, cmd.OutOrStdout())
+			s, err := fleetScript(p, trouble, release)
+			if err != nil {
+				return err
+			}
+			return runFleet(s, processes, report, picture, cmd.OutOrStdout())
 		},
 	}
 	f := c.Flags()
 	f.IntVar(&p.Nodes, "nodes", p.Nodes, "nodes")
 	f.IntVar(&p.Engines, "engines", p.Engines, "stand-in engines")
 	f.Float64Var(&p.PerS, "rate", p.PerS, "requests a second")
+	f.Float64Var(&p.Load, "load", 0, "requests a second as a part of what the engines can do, in place of --rate")
+	f.StringVar(&trouble, "trouble", "", "add the troubles of this bad-day script")
+	f.BoolVar(&release, "release", false, "restart all prefill engines in steps, a third at a time")
 	f.Float64Var(&p.Length, "seconds", p.Length, "length of the run")
 	f.Float64Var(&p.Restarts, "restarts", p.Restarts, "nodes killed and restarted a second")
 	f.Float64Var(&p.Churn, "churn", p.Churn, "engines that die and come back cold a second")
@@ -57,10 +66,35 @@
 	return c
 }
 
-func runFleet(p badday.FleetPlan, processes bool, report, picture string, out io.Writer) error {
-	if p.Nodes < 1 || p.Engines < 3 || p.Length < 5 {
-		return withCode(ExitUsage, fmt.Errorf("a fleet has 1 node, 3 engines and 5 seconds at least"))
+// fleetScript makes the day of a fleet, with the troubles of a script or a release added.
+func fleetScript(p badday.FleetPlan, trouble string, release bool) (*badday.Script, error) {
+	if p.Nodes < 1 || p.Engines < 3 || p.Length < 5 || p.Load < 0 {
+		return nil, withCode(ExitUsage, fmt.Errorf("a fleet has 1 node, 3 engines and 5 seconds at least, and a load above 0"))
 	}
+	if release {
+		readers := p.Script().Readers()
+		third := (len(readers) + 2) / 3
+		p.Troubles = badday.CrowdTroubles(readers, third, 0.25*p.Length, 0.15*p.Length, min(2, 0.1*p.Length))
+	}
+	if trouble != "" {
+		text, err := os.ReadFile(trouble)
+		if err != nil {
+			return nil, withCode(ExitConfig, err)
+		}
+		day, err := badday.Parse(text)
+		if err != nil {
+			return nil, withCode(ExitConfig, fmt.Errorf("%s:\n%w", trouble, err))
+		}
+		p.Troubles = append(p.Troubles, day.Troubles...)
+	}
+	s := p.Script()
+	if err := s.Check(); err != nil {
+		return nil, withCode(ExitConfig, fmt.Errorf("%s does not fit this fleet:\n%w", cmp.Or(trouble, "the plan"), err))
+	}
+	return s, nil
+}
+
+func runFleet(s *badday.Script, processes bool, report, picture string, out io.Writer) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	o := badday.Options{Launch: launcher(io.Discard), Skew: 0.5, Progress: func(q badday.Progress) {
@@ -77,7 +111,7 @@
 		defer os.RemoveAll(dir)
 		o.Launch = processLauncher(dir)
 	}
-	r, err := badday.Run(ctx, p.Script(), o)
+	r, err := badday.Run(ctx, s, o)
 	fmt.Fprintln(out)
 	if err != nil {
 		return withCode(ExitRun, err)
--- a/lab/badday/badday_test.go
+++ b/lab/badday/badday_test.go
@@ -170,3 +170,29 @@
 		t.Errorf("%d starts", r.Starts)
 	}
 }
+
+// A release restarts each reader once, and the load of a fleet follows from what its engines can do.
+func TestReleaseRestartsEveryReaderOnceAndLoadFollowsCapacity(t *testing.T) {
+	p := badday.FleetPlan{Nodes: 2, Engines: 24, Length: 60, Load: 0.5}
+	readers := p.Script().Readers()
+	p.Troubles = badday.CrowdTroubles(readers, 3, 15, 9, 2)
+	s := p.Script()
+	if err := s.Check(); err != nil {
+		t.Fatal(err)
+	}
+	struck := map[string]int{}
+	for _, x := range s.Troubles {
+		for _, id := range x.Engines {
+			struck[id]++
+		}
+	}
+	for _, id := range readers {
+		if struck[id] != 1 {
+			t.Errorf("%s is restarted %d times", id, struck[id])
+		}
+	}
+	p.Engines = 48
+	if more := p.Script().Load.PerS; len(readers) != 8 || more < 1.9*s.Load.PerS || more > 2.1*s.Load.PerS {
+		t.Fatalf("%d readers, %g/s; twice the engines: %g/s", len(readers), s.Load.PerS, more)
+	}
+}
--- a/lab/badday/convert.go
+++ b/lab/badday/convert.go
@@ -150,7 +150,7 @@
 		s.Troubles = append(s.Troubles, x)
 	}
 	s.defaults()
-	return s, s.check()
+	return s, s.Check()
 }
 
 func role(b *benchDay, i int) string {
--- a/lab/badday/fleet.go
+++ b/lab/badday/fleet.go
@@ -12,6 +12,8 @@
 	Notice         float64 // s by which the list is late
 	ListServer     bool    // nodes ask one list server
 	Roll           bool    // every node is restarted once more, a fifth at a time
+	Load           float64 // requests a second as a part of what the engines can do, in place of PerS; 0 = PerS holds
+	Troubles       []Trouble
 	Seed           uint64
 }
 
@@ -45,6 +47,56 @@
 	if p.Roll {
 		s.Troubles = append(s.Troubles, Trouble{Kind: "balancer_roll", At: p.Length * 0.92, Len: 1, Part: 1, Size: 0.2, Extra: 0.1})
 	}
+	s.Troubles = append(s.Troubles, p.Troubles...)
 	s.defaults()
+	if p.Load > 0 {
+		s.Load.PerS = p.Load * s.Capacity()
+	}
 	return s
 }
+
+// readFixed is what a read costs beside its new tokens, in tokens, as the stand-ins have it.
+const readFixed = 50
+
+// Capacity is how many sessions a second the engines can serve, by the stage that is shorter: prompts read, and answers
+// written with all slots in use. Beginnings are taken to be kept where they are read, and mixed engines to write: it is
+// the capacity of a fleet whose homes hold. One that has lost them, or sends reads elsewhere, has less.
+func (s *Script) Capacity() float64 {
+	var read, write float64 // tokens a second
+	s.each(func(_ string, k Kind, g Group) {
+		if k.Role == "prefill" {
+			read += k.ReadPerS * g.Speed
+			return
+		}
+		slots := float64(k.Slots)
+		write += slots / ((k.StepMS + k.PerSeqMS*slots) / 1000 / g.Speed)
+	})
+	var share, prompt, answer float64
+	for _, c := range s.Classes {
+		share += c.Share
+		prompt += c.Share * c.Turns * (c.NewTokens + readFixed)
+		answer += c.Share * c.Turns * c.AnswerTokens
+	}
+	return share * min(read/max(1, prompt), write/max(1, answer))
+}
+
+// CrowdTroubles restarts all readers in steps, so many at a time, one step every few seconds from a time on: a release.
+func CrowdTroubles(readers []string, atATime int, from, every, down float64) []Trouble {
+	var ts []Trouble
+	for i := 0; i < len(readers); i += atATime {
+		ts = append(ts, Trouble{Kind: "crash", At: from + every*float64(i/atATime), Len: down,
+			Engines: readers[i:min(len(readers), i+atATime)]})
+	}
+	return ts
+}
+
+// Readers lists the ids of the engines that only read prompts.
+func (s *Script) Readers() []string {
+	var ids []string
+	s.each(func(id string, k Kind, _ Group) {
+		if k.Role == "prefill" {
+			ids = append(ids, id)
+		}
+	})
+	return ids
+}
--- a/lab/badday/script.go
+++ b/lab/badday/script.go
@@ -151,7 +151,7 @@
 		return nil, err
 	}
 	s.defaults()
-	return s, s.check()
+	return s, s.Check()
 }
 
 func (s *Script) defaults() {
@@ -206,8 +206,8 @@
 	}
 }
 
-// check looks at what refers to names.
-func (s *Script) check() error {
+// Check looks at what refers to names.
+func (s *Script) Check() error {
 	var ps config.Problems
 	add := func(pointer, format string, args ...any) {
 		ps = append(ps, config.Problem{Pointer: pointer, Text: fmt.Sprintf(format, args...)})
