Connections that ask nothing leave the lobby in 250 ms; resting ones are closed after 1 s

Change: a lobby of 64, 250 ms for a first byte; connections are closed to make room after 1 s of rest.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -143,13 +143,18 @@
 
 // The lobby: connections that are refused at a time, and how long their heads may take.
 const (
-	lobbyMost = 32
+	lobbyMost = 64
+	lobbyWait = 250 * time.Millisecond // for the first byte: clients open connections ahead and never use some
 	lobbyTime = time.Second
 )
 
 // turnAway reads one request's head and refuses it.
 func (c *conn) turnAway() {
 	c.br = bufio.NewReaderSize(c.nc, readBuffer)
+	c.nc.SetReadDeadline(time.Now().Add(lobbyWait))
+	if _, err := c.br.Peek(1); err != nil {
+		return
+	}
 	c.nc.SetReadDeadline(time.Now().Add(lobbyTime))
 	if _, err := ReadRequest(c.br, c.srv.Limits); err != nil {
 		c.reject(err)
@@ -186,7 +191,7 @@
 }
 
 // restedFor is how long a connection has rested before it may be closed to make room.
-const restedFor = 200 * time.Millisecond
+const restedFor = time.Second
 
 // Held returns the bytes of request bodies that are held, over all connections.
 func (s *Server) Held() int64 { return s.held.Load() }
