--- /dev/null
+++ b/internal/cli/relay.go
@@ -0,0 +1,88 @@
+package cli
+
+import (
+	"io"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"dillroute/internal/config"
+	"dillroute/internal/node"
+	"dillroute/internal/relay"
+)
+
+// memoryShare is the part of the memory limit that the runtime keeps its heap within; the rest is for what it does not
+// count: the program's text, stacks in the kernel and sockets.
+const memoryShare = 0.6
+
+// serveRelay runs a node on the users' platform until SIGTERM or SIGINT.
+func serveRelay(level string, errOut io.Writer) error {
+	signals := make(chan os.Signal, 16) // before all else: a signal that comes early must not end the program
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	cfg, err := relay.Load(os.Getenv)
+	if err != nil {
+		return withCode(ExitConfig, err)
+	}
+	log, _ := newLogger(errOut, config.Log{Level: level, Format: "text"})
+	bindLimits(cfg.Limits)
+	n, err := node.StartRelay(cfg, node.WithLogger(log))
+	if err != nil {
+		return withCode(ExitRun, err)
+	}
+	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "discovery", cfg.Discovery, "cores", cfg.Limits.Cores,
+		"memory_mb", cfg.Limits.MemoryMB, "sockets", cfg.Limits.Sockets)
+	failure := waitRelay(n, signals, log)
+	stopped := make(chan struct{})
+	go func() {
+		n.Shutdown(node.LongestStop)
+		close(stopped)
+	}()
+	for {
+		select {
+		case <-stopped:
+			log.Info("stopped")
+			return withCode(ExitRun, failure)
+		case s := <-signals:
+			if s == syscall.SIGINT {
+				n.Hurry()
+			}
+		}
+	}
+}
+
+// waitRelay serves until the node is to stop; the error is the module's, if that is why.
+func waitRelay(n *node.RelayNode, signals <-chan os.Signal, log *slog.Logger) error {
+	for {
+		select {
+		case err := <-n.Failed():
+			return err
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				log.Info("stopping", "signal", s.String())
+				return nil
+			}
+			next, err := relay.Load(os.Getenv)
+			if err != nil {
+				log.Error("configuration not taken, the old one stays", "error", err.Error())
+				continue
+			}
+			n.Reload(next)
+			log.Info("configuration read again", "discovery", next.Discovery)
+		}
+	}
+}
+
+// bindLimits keeps the runtime within what the platform allows.
+func bindLimits(l relay.Limits) {
+	if l.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
+	}
+	if l.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(l.MemoryMB * memoryShare * (1 << 20)))
+	}
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -19,8 +19,10 @@
 func serveCommand() *cobra.Command {
 	var file string
 	var takeover time.Duration
+	var platform bool
+	var level string
 	c := &cobra.Command{
-		Use:   "serve --config FILE",
+		Use:   "serve --config FILE | --relay",
 		Short: "Run a node",
 		Long: `Run a node until SIGTERM or SIGINT. The first one stops the taking of requests and lets those held end, for
 limits.shutdown_s at most; a second one answers what is held at once. SIGHUP reads the configuration again and
@@ -30,17 +32,25 @@
 readiness is told to it (sd_notify). With state_dir, one process at a time holds that folder; --takeover waits for a predecessor,
 which lets go of it as soon as it is told to stop.
 
+With --relay the node speaks the protocol of the users' platform, and takes its configuration from there (RELAY_CONFIG,
+RELAY_NAME, RELAY_LISTEN, RELAY_DISCOVERY). Admin listener, state directory and handed sockets are off then.
+
 ` + exitCodesDoc,
-		Example: "  dillroute serve --config examples/node.json\n  dillroute serve --config examples/node.json --takeover 1m",
+		Example: "  dillroute serve --config examples/node.json\n  dillroute serve --config examples/node.json --takeover 1m\n  dillroute serve --relay",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if platform {
+				return serveRelay(level, cmd.ErrOrStderr())
+			}
 			if file == "" {
-				return withCode(ExitUsage, fmt.Errorf("serve needs --config FILE"))
+				return withCode(ExitUsage, fmt.Errorf("serve needs --config FILE, or --relay"))
 			}
 			return serve(file, takeover, cmd.OutOrStdout(), cmd.ErrOrStderr())
 		},
 	}
 	c.Flags().DurationVar(&takeover, "takeover", 0, "wait this long for a predecessor to let go of state_dir")
+	c.Flags().BoolVar(&platform, "relay", false, "speak the protocol of the users' platform")
+	c.Flags().StringVar(&level, "log", "info", "with --relay: log level (debug, info, warn, error)")
 	c.Flags().StringVar(&file, "config", "", "the node's configuration (JSON; see dillroute config schema)")
 	return c
 }
@@ -129,7 +139,7 @@
 }
 
 // tellReady tells the service manager once the node may serve: with no engine listed it may not.
-func tellReady(n *node.Node, ended <-chan struct{}) {
+func tellReady(n *node.ChatNode, ended <-chan struct{}) {
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
 	for !n.Ready() {
@@ -143,7 +153,7 @@
 }
 
 // reload takes what may change of the file, and says what may not.
-func reload(n *node.Node, file string, log *slog.Logger, level *slog.LevelVar) {
+func reload(n *node.ChatNode, file string, log *slog.Logger, level *slog.LevelVar) {
 	next, err := config.Load(file)
 	if err != nil {
 		log.Error("configuration not taken, the old one stays", "error", err.Error())
--- a/internal/decide/ending/ending.go
+++ b/internal/decide/ending/ending.go
@@ -43,16 +43,28 @@
 	ClientLeft              // the client has gone
 )
 
+// Meaning is what a whole answer says, in the words of no protocol: the engine's client names it.
+type Meaning int
+
+// Meanings of a whole answer.
+const (
+	Error   Meaning = iota // the engine failed at it, or answered what it should not
+	Read                   // the prompt has been read, and its state waits there
+	Done                   // the answer was made
+	Turned                 // full, draining or the like: it has not run
+	NoState                // there was no state to fetch: it has not run
+	Judged                 // a judgement of the request, before it ran
+)
+
 // Facts are what was seen of an attempt.
 type Facts struct {
 	Stage    Stage
 	Progress Progress
 	Cause    Cause
-	HTTP     int    // status of the answer; 0 = none
-	Code     string // error code in the answer's body
-	State    bool   // Prefill: the answer names the state that waits
-	Kept     int    // prompt tokens that the engine had kept
-	// Agreed tells that another engine has rejected the same request with the same status before.
+	Meaning  Meaning // of the answer, where Cause is Answered
+	Code     int     // Judged: what tells one judgement from another
+	Kept     int     // prompt tokens that the engine had kept
+	// Agreed tells that another engine has judged the same request alike before.
 	Agreed bool
 	// Last tells that the request can have no further attempt.
 	Last bool
@@ -69,12 +81,6 @@
 	Final bool
 }
 
-// Codes of errors by which an engine says that there is no state to fetch.
-const (
-	CodeStateGone = "kv_state_not_found"
-	CodeNoState   = "kv_state_required"
-)
-
 // Judge applies the table.
 func Judge(f Facts) Verdict {
 	v := Verdict{}
@@ -117,23 +123,24 @@
 	return brain.ConnectionLost
 }
 
-// answered covers whole answers, by their HTTP status.
+// answered covers whole answers.
 func answered(f Facts) Verdict {
-	switch {
-	case f.HTTP == 200 && f.Stage == Decode:
-		return Verdict{Status: brain.Served, Ran: true, Info: f.Kept}
-	case f.HTTP == 200 && f.State:
-		return Verdict{Status: brain.Parsed, Info: f.Kept}
-	case f.HTTP == 200: // a reader that read and names no state is of no use
-		return Verdict{Status: brain.ServerError}
-	case f.Code == CodeStateGone || f.Code == CodeNoState:
+	switch f.Meaning {
+	case Done:
+		if f.Stage == Decode {
+			return Verdict{Status: brain.Served, Ran: true, Info: f.Kept}
+		}
+	case Read:
+		if f.Stage == Prefill {
+			return Verdict{Status: brain.Parsed, Info: f.Kept}
+		}
+	case NoState:
 		return Verdict{Status: brain.TurnedAway, Info: 1}
-	case f.HTTP == 429 || f.HTTP == 503:
+	case Turned:
 		return Verdict{Status: brain.TurnedAway}
-	case aboutRequest(f.HTTP):
-		// A judgement of the request, before it ran. One engine may be wrong in it (a model that it lacks, a
-		// key that it does not take), and would then fail every request as fast as it is asked; so a second
-		// one has to agree, unless no attempt is left.
+	case Judged:
+		// One engine may be wrong in it (a model that it lacks, a key that it does not take), and would then fail every
+		// request as fast as it is asked; so a second one has to agree, unless no attempt is left.
 		if f.Agreed || f.Last {
 			return Verdict{Status: brain.Served, Final: true}
 		}
@@ -142,15 +149,6 @@
 	return Verdict{Status: brain.ServerError, Ran: f.Stage == Decode}
 }
 
-// aboutRequest tells the statuses by which a server judges the request rather than itself (RFC 9110, 15.5).
-func aboutRequest(status int) bool {
-	switch status {
-	case 400, 404, 405, 411, 413, 414, 415, 422, 431:
-		return true
-	}
-	return false
-}
-
 // Answer is how a final answer that the node itself gives presents itself to the client.
 type Answer struct {
 	HTTP  int
--- a/internal/decide/ending/ending_test.go
+++ b/internal/decide/ending/ending_test.go
@@ -25,30 +25,30 @@
 		{"called off while dialling", Facts{Stage: Decode, Progress: Dialling, Cause: Stopped}, brain.NoConnection, 0, false, false, false},
 		{"broke within the request", Facts{Stage: Decode, Progress: Connected, Cause: Broken}, brain.NoConnection, 0, false, false, false},
 		{"broke after the request", Facts{Stage: Decode, Progress: Written, Cause: Broken}, brain.ConnectionLost, 0, true, false, false},
-		{"broke within the answer", Facts{Stage: Decode, Progress: Headed, Cause: Broken, HTTP: 200}, brain.ConnectionLost, 0, true, false, false},
-		{"broke in mid-stream", Facts{Stage: Decode, Progress: Streaming, Cause: Broken, HTTP: 200}, brain.ConnectionLost, 0, true, false, false},
+		{"broke within the answer", Facts{Stage: Decode, Progress: Headed, Cause: Broken}, brain.ConnectionLost, 0, true, false, false},
+		{"broke in mid-stream", Facts{Stage: Decode, Progress: Streaming, Cause: Broken}, brain.ConnectionLost, 0, true, false, false},
 		{"no answer in time", Facts{Stage: Decode, Progress: Written, Cause: Expired}, brain.NoAnswer, 0, true, false, false},
 		{"stalled", Facts{Stage: Decode, Progress: Streaming, Cause: Stalled}, brain.NoAnswer, 0, true, false, false},
 		{"called off", Facts{Stage: Decode, Progress: Written, Cause: Stopped}, brain.CalledOff, 0, true, false, false},
 		{"ended by another answer", Facts{Stage: Decode, Progress: Written, Cause: Overtaken}, brain.CalledOff, 0, true, false, false},
 		{"client left", Facts{Stage: Decode, Progress: Streaming, Cause: ClientLeft}, brain.CalledOff, 0, true, false, false},
-		{"garbage", Facts{Stage: Decode, Progress: Headed, Cause: Unreadable, HTTP: 200}, brain.ServerError, 0, true, false, false},
-		{"served", Facts{Stage: Decode, Progress: Streaming, Cause: Answered, HTTP: 200}, brain.Served, 0, true, false, false},
-		{"full", Facts{Stage: Decode, Progress: Headed, Cause: Answered, HTTP: 429}, brain.TurnedAway, 0, false, false, false},
-		{"full too", Facts{Stage: Decode, Progress: Headed, Cause: Answered, HTTP: 503}, brain.TurnedAway, 0, false, false, false},
-		{"state gone", Facts{Stage: Decode, Progress: Headed, Cause: Answered, HTTP: 409, Code: CodeStateGone}, brain.TurnedAway, 1, false, false, false},
-		{"error", Facts{Stage: Decode, Progress: Headed, Cause: Answered, HTTP: 500}, brain.ServerError, 0, true, false, false},
-		{"bad gateway", Facts{Stage: Decode, Progress: Headed, Cause: Answered, HTTP: 502}, brain.ServerError, 0, true, false, false},
-		{"odd success", Facts{Stage: Decode, Progress: Headed, Cause: Answered, HTTP: 204}, brain.ServerError, 0, true, false, false},
-		{"judged once", Facts{Stage: Decode, Progress: Headed, Cause: Answered, HTTP: 400}, brain.TurnedAway, 0, false, false, false},
-		{"judged twice", Facts{Stage: Decode, Progress: Headed, Cause: Answered, HTTP: 400, Agreed: true}, brain.Served, 0, false, false, true},
-		{"judged at the last try", Facts{Stage: Decode, Progress: Headed, Cause: Answered, HTTP: 422, Last: true}, brain.Served, 0, false, false, true},
-		{"read", Facts{Stage: Prefill, Progress: Headed, Cause: Answered, HTTP: 200, State: true, Kept: 7}, brain.Parsed, 7, false, false, false},
-		{"read without a state", Facts{Stage: Prefill, Progress: Headed, Cause: Answered, HTTP: 200}, brain.ServerError, 0, false, true, false},
+		{"garbage", Facts{Stage: Decode, Progress: Headed, Cause: Unreadable}, brain.ServerError, 0, true, false, false},
+		{"served", Facts{Stage: Decode, Progress: Streaming, Cause: Answered, Meaning: Done}, brain.Served, 0, true, false, false},
+		{"full", Facts{Stage: Decode, Progress: Headed, Cause: Answered, Meaning: Turned}, brain.TurnedAway, 0, false, false, false},
+		{"full too", Facts{Stage: Decode, Progress: Headed, Cause: Answered, Meaning: Turned}, brain.TurnedAway, 0, false, false, false},
+		{"state gone", Facts{Stage: Decode, Progress: Headed, Cause: Answered, Meaning: NoState}, brain.TurnedAway, 1, false, false, false},
+		{"error", Facts{Stage: Decode, Progress: Headed, Cause: Answered, Meaning: Error}, brain.ServerError, 0, true, false, false},
+		{"read by a writer", Facts{Stage: Decode, Progress: Headed, Cause: Answered, Meaning: Read}, brain.ServerError, 0, true, false, false},
+		{"answered by a reader", Facts{Stage: Prefill, Progress: Headed, Cause: Answered, Meaning: Done}, brain.ServerError, 0, false, true, false},
+		{"judged once", Facts{Stage: Decode, Progress: Headed, Cause: Answered, Meaning: Judged, Code: 400}, brain.TurnedAway, 0, false, false, false},
+		{"judged twice", Facts{Stage: Decode, Progress: Headed, Cause: Answered, Meaning: Judged, Code: 400, Agreed: true}, brain.Served, 0, false, false, true},
+		{"judged at the last try", Facts{Stage: Decode, Progress: Headed, Cause: Answered, Meaning: Judged, Code: 422, Last: true}, brain.Served, 0, false, false, true},
+		{"read", Facts{Stage: Prefill, Progress: Headed, Cause: Answered, Meaning: Read, Kept: 7}, brain.Parsed, 7, false, false, false},
+		{"read without a state", Facts{Stage: Prefill, Progress: Headed, Cause: Answered}, brain.ServerError, 0, false, true, false},
 		{"read broke", Facts{Stage: Prefill, Progress: Written, Cause: Broken}, brain.ConnectionLost, 0, false, true, false},
 		{"read never written", Facts{Stage: Prefill, Progress: Connected, Cause: Broken}, brain.NoConnection, 0, false, false, false},
 		{"read called off", Facts{Stage: Prefill, Progress: Written, Cause: Stopped}, brain.CalledOff, 0, false, true, false},
-		{"reader full", Facts{Stage: Prefill, Progress: Headed, Cause: Answered, HTTP: 503}, brain.TurnedAway, 0, false, false, false},
+		{"reader full", Facts{Stage: Prefill, Progress: Headed, Cause: Answered, Meaning: Turned}, brain.TurnedAway, 0, false, false, false},
 	} {
 		v := Judge(c.f)
 		if v.Status != c.status || v.Info != c.info || v.Ran != c.ran || v.Holds != c.holds || v.Final != c.final {
@@ -62,8 +62,8 @@
 	for stage := Prefill; stage <= Decode; stage++ {
 		for p := Unsent; p <= Streaming; p++ {
 			for c := Answered; c <= ClientLeft; c++ {
-				for _, status := range []int{0, 200, 400, 429, 500, 503} {
-					v := Judge(Facts{Stage: stage, Progress: p, Cause: c, HTTP: status})
+				for status := Error; status <= Judged; status++ {
+					v := Judge(Facts{Stage: stage, Progress: p, Cause: c, Meaning: status})
 					if stage == Prefill && v.Ran {
 						t.Fatalf("a read has no effect: %v %v %d", p, c, status)
 					}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -25,6 +25,9 @@
 	MaxAttempts int     // for one request
 	Slack       float64 // s after a client's deadline at which the book answers by itself
 	DrainGrace  float64 // s after which nothing goes to an engine that drains or is gone
+	// ReleaseAll tells that one release lets go of all that any engine holds for a request. It then waits until no
+	// attempt is out and no state is wanted.
+	ReleaseAll bool
 }
 
 // Command is something that the host is to carry out.
@@ -54,10 +57,13 @@
 	OK bool
 }
 
-// Release lets go of the state that an engine may hold from the attempt N.
+// Release lets go of the state that an engine may hold from the attempt N; with Config.ReleaseAll, of all that is held
+// for the request. Wanted tells whether it may still be made. Cut tells that the attempt was broken off, so that its
+// engine may hold something only a moment later.
 type Release struct {
 	ID, Engine string
 	N          int
+	Cut        bool
 }
 
 // Answer is the node's own final answer to a client.
@@ -117,8 +123,11 @@
 	ranAt     float64
 	answering bool    // the answer belongs to an attempt
 	concluded bool    // the client has its answer, or has gone
-	rejected  int     // status by which an engine has judged the request
+	rejected  int     // code by which an engine has judged the request
 	farewell  *Answer // given once the attempt that streams has stopped writing
+	owed      string  // ReleaseAll: an engine that may hold what is to be let go of; "" = nothing is
+	owedN     int     // by this attempt
+	owedCut   bool    // which was broken off
 }
 
 // attempt returns an attempt by its number; nil = it was never begun.
@@ -216,8 +225,10 @@
 		return ending.Answer{HTTP: 503, Code: "node_draining", Retry: true}, false
 	case l.live >= l.cfg.MaxOpen:
 		return ending.Answer{HTTP: 429, Code: "node_full", Retry: true}, false
-	case l.open[q.ID] != nil || q.Class < 0 || q.Class >= len(l.cfg.Classes):
-		l.fault("request %s: its id is in use, or its class %d is not known", q.ID, q.Class)
+	case l.open[q.ID] != nil:
+		return ending.Answer{HTTP: 409, Code: "id_in_use"}, false
+	case q.Class < 0 || q.Class >= len(l.cfg.Classes):
+		l.fault("request %s: its class %d is not known", q.ID, q.Class)
 		return ending.Answer{HTTP: 500, Code: "internal", Retry: true}, false
 	}
 	e := &entry{class: &l.cfg.Classes[q.Class], deadline: now + q.TimeLeft}
@@ -263,9 +274,32 @@
 			}
 		}
 	}
+	l.prune(now)
 	l.emit(m)
 }
 
+// keepRemoved is how long an engine that was removed is remembered, at least (s): longer than any request is open
+// before its answer begins, so that none is forgotten whose effect may yet be asked for.
+const keepRemoved = 120
+
+// prune forgets engines that were removed long ago: where they are replaced all day, there is no end of them.
+func (l *Ledger) prune(now float64) {
+	for id, s := range l.engines {
+		if s.state == brain.Removed && now > s.since+keepRemoved {
+			delete(l.engines, id)
+		}
+	}
+}
+
+// Listed tells whether an engine may be sent something new.
+func (l *Ledger) Listed(id string) bool {
+	s := l.engines[id]
+	return s != nil && s.state == brain.Ready
+}
+
+// Known tells whether an engine is remembered.
+func (l *Ledger) Known(id string) bool { return l.engines[id] != nil }
+
 // Apply carries out one action of the module. It returns false for those that are the host's alone (timers,
 // logs, probes, calls to the list's source).
 func (l *Ledger) Apply(now float64, a brain.Action) bool {
@@ -389,11 +423,43 @@
 			return
 		}
 	}
-	l.do(Release{id, e.state, e.stateN})
+	l.letGo(id, e, Release{Engine: e.state, N: e.stateN})
 	e.state = ""
+	l.flush(id, e)
 	l.settle(id, e)
 }
 
+// letGo has a state released: at once, or where a release takes all that is held, as soon as nothing else is at stake.
+func (l *Ledger) letGo(id string, e *entry, r Release) {
+	r.ID = id
+	if !l.cfg.ReleaseAll {
+		l.do(r)
+		return
+	}
+	if e.owed == "" {
+		e.owed, e.owedN = r.Engine, r.N
+	}
+	e.owedCut = e.owedCut || r.Cut
+}
+
+// flush makes the release that is owed once no attempt is out and no state is wanted.
+func (l *Ledger) flush(id string, e *entry) {
+	if e.owed != "" && e.out == 0 && e.state == "" {
+		l.do(Release{id, e.owed, e.owedN, e.owedCut})
+		e.owed, e.owedCut = "", false
+	}
+}
+
+// Wanted is asked before a release is tried again. Where it would take what has come since, it is owed anew.
+func (l *Ledger) Wanted(r Release) bool {
+	e := l.open[r.ID]
+	if e == nil || !l.cfg.ReleaseAll || e.out == 0 && e.state == "" {
+		return true
+	}
+	l.letGo(r.ID, e, r)
+	return false
+}
+
 // answer concludes a request by the node's own word. A refusal after an effect is possible would be a lie: it
 // becomes a failure.
 func (l *Ledger) answer(now float64, id string, a ending.Answer, after float64, reason string) {
@@ -456,9 +522,10 @@
 		return
 	}
 	if e.state != "" {
-		l.do(Release{id, e.state, e.stateN})
+		l.letGo(id, e, Release{Engine: e.state, N: e.stateN})
 		e.state = ""
 	}
+	l.flush(id, e)
 	delete(l.open, id)
 	l.do(Forget{id})
 }
@@ -477,7 +544,7 @@
 	}
 	e.answering, t.streaming = true, true
 	if e.state != "" && !t.took(e) { // it read the prompt itself
-		l.do(Release{id, e.state, e.stateN})
+		l.letGo(id, e, Release{Engine: e.state, N: e.stateN})
 	}
 	e.state = "" // else the fetch has ended: the reader let its memory go
 	l.do(Grant{id, n, true})
@@ -500,19 +567,20 @@
 	t := e.attempt(n)
 	t.over = true
 	e.out--
-	f.Stage, f.Agreed = t.stage, e.rejected != 0 && e.rejected == f.HTTP
+	f.Stage, f.Agreed = t.stage, e.rejected != 0 && e.rejected == f.Code
 	f.Last = len(e.attempts) >= l.cfg.MaxAttempts
 	if t.streaming {
 		f.Progress = ending.Streaming
 	}
 	v := ending.Judge(f)
-	if f.Cause == ending.Answered && f.HTTP >= 400 && !v.Final {
-		e.rejected = f.HTTP
+	if f.Cause == ending.Answered && f.Meaning == ending.Judged && !v.Final {
+		e.rejected = f.Code
 	}
 	if v.Ran && !e.ran {
 		e.ran, e.ranOn, e.ranAt = true, t.engine, t.sentAt
 	}
 	l.states(id, e, n, v)
+	l.flush(id, e)
 	closed := l.closes(id, e, n, v)
 	l.emit(brain.Outcome{ID: id, Attempt: n, Engine: t.engine, Status: v.Status, Info: v.Info,
 		Spent: now - t.sentAt, Closed: closed || e.concluded, Report: rep})
@@ -534,11 +602,12 @@
 	switch {
 	case v.Status == brain.Parsed:
 		if e.state != "" { // read twice: one of the two will not be taken
-			l.do(Release{id, e.state, e.stateN})
+			l.letGo(id, e, Release{Engine: e.state, N: e.stateN})
 		}
 		e.state, e.stateN = t.engine, n
-	case v.Holds:
-		l.do(Release{id, t.engine, n})
+	case v.Holds, l.cfg.ReleaseAll && !t.withState && v.Ran && v.Status != brain.Served:
+		// Cut reads may have ended well, and an engine that read for itself keeps what it has read.
+		l.letGo(id, e, Release{Engine: t.engine, N: n, Cut: true})
 	case t.took(e) && (v.Status == brain.TurnedAway && v.Info == 1 || v.Status == brain.Served && !v.Final):
 		e.state = ""
 	}
--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -167,7 +167,7 @@
 	l.Request(1, request("a", 0), 0)
 	n := decode(t, l, 1, "a", "r0")
 	l.Hangup(1.1, "a", false)
-	l.Ended(1.2, "a", n, ending.Facts{Cause: ending.Answered, Progress: ending.Headed, HTTP: 200, State: true}, nil)
+	l.Ended(1.2, "a", n, ending.Facts{Cause: ending.Answered, Progress: ending.Headed, Meaning: ending.Read}, nil)
 	if rs := find[Release](l); len(rs) != 1 || rs[0].Engine != "r0" {
 		t.Fatalf("%v", rs)
 	}
@@ -260,13 +260,9 @@
 		Progress: ending.Progress(rapid.IntRange(int(ending.Dialling), int(ending.Headed)).Draw(w.t, "progress"))}
 	if f.Cause == ending.Answered {
 		f.Progress = ending.Headed
-		f.HTTP = rapid.SampledFrom([]int{200, 400, 409, 429, 500}).Draw(w.t, "status")
-		f.State = f.HTTP == 200 && s.Stage == ending.Prefill
-		if (w.granted[id] == 0 || w.grantee[id] != s.N) && f.HTTP == 200 && s.Stage == ending.Decode {
-			f.HTTP = 503 // a stream is never whole before its first token
-		}
-		if f.HTTP == 409 {
-			f.Code = ending.CodeStateGone
+		f.Meaning = ending.Meaning(rapid.IntRange(int(ending.Error), int(ending.Judged)).Draw(w.t, "meaning"))
+		if (w.granted[id] == 0 || w.grantee[id] != s.N) && f.Meaning == ending.Done && s.Stage == ending.Decode {
+			f.Meaning = ending.Turned // a stream is never whole before its first token
 		}
 	}
 	f.Stage = s.Stage
--- a/internal/decide/letgo/letgo.go
+++ b/internal/decide/letgo/letgo.go
@@ -3,6 +3,8 @@
 // It does no I/O and reads no clock.
 package letgo
 
+import "slices"
+
 // Plan is one state that is to be let go of. Times are in seconds.
 type Plan struct {
 	By    float64 // the latest time at which it may still be held
@@ -37,3 +39,62 @@
 	}
 	return min(now+wait, p.By), true
 }
+
+// Ready says when the first call may be made: at once, but where an attempt was broken off a little later, for its engine
+// may take it up only then.
+func Ready(now float64, cut bool) float64 {
+	if cut {
+		return now + settle
+	}
+	return now
+}
+
+const settle = 0.03 // s that a broken attempt may still be under way
+
+// Within is how long one call may take (s): a part of the time that is left, so that others can be asked after it.
+func (p *Plan) Within(now float64) float64 { return max(leastCall, (p.By-now)/callPart) }
+
+const (
+	leastCall = 0.05 // s
+	callPart  = 4.0
+)
+
+// Engine is one that may be asked to let go, where any engine can.
+type Engine struct {
+	ID        string
+	Listed    bool
+	Holder    bool    // it may hold the state
+	Good, Bad float64 // when it last answered a call, and when one last failed; 0 = never
+}
+
+// Order puts those to be asked in the order in which they are: engines that answered last come before those that failed
+// last, the holder first among its likes, then who answered latest.
+func Order(engines []Engine) []Engine {
+	rank := func(e Engine) int {
+		n := 0
+		if e.Bad > e.Good {
+			n += 4
+		}
+		if !e.Listed {
+			n += 2
+		}
+		if !e.Holder {
+			n++
+		}
+		return n
+	}
+	out := slices.Clone(engines)
+	slices.SortStableFunc(out, func(a, b Engine) int {
+		if d := rank(a) - rank(b); d != 0 {
+			return d
+		}
+		switch {
+		case a.Good > b.Good:
+			return -1
+		case a.Good < b.Good:
+			return 1
+		}
+		return 0
+	})
+	return out
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 	"dillroute/internal/decide/ending"
 	"dillroute/internal/front"
 	"dillroute/internal/http1"
+	"dillroute/internal/protocol"
 )
 
 // Client sends attempts to engines. It is safe for concurrent use.
@@ -43,6 +45,7 @@
 	mu      sync.Mutex
 	conn    *http1.ClientConn
 	aborted bool
+	written bool // the request is being written, or was
 	cause   ending.Cause
 }
 
@@ -51,11 +54,10 @@
 
 // Result is what was seen.
 type Result struct {
-	Facts  ending.Facts
-	State  json.RawMessage // kv_transfer_params of a prefill reply
-	Report *brain.Report
-	Reply  []byte // body of an answer that is no success
-	Err    error
+	protocol.Result
+	State json.RawMessage // kv_transfer_params of a prefill reply
+	Reply []byte          // body of an answer that is no success
+	HTTP  int             // its status
 }
 
 // Sink takes the stream of a decode attempt.
@@ -73,6 +75,9 @@
 	Finish() error
 }
 
+// StateID names a state at the engines: reads of one request must not be taken for each other.
+func StateID(id string, n int) string { return id + "." + strconv.Itoa(n) }
+
 // Abort ends the attempt, for the cause given, at whatever point it is.
 func (a *Attempt) Abort(cause ending.Cause) {
 	a.mu.Lock()
@@ -85,11 +90,20 @@
 	}
 }
 
-// attach gives the connection to Abort; false = too late.
+// Withdraw ends the attempt if no byte of it has been written.
+func (a *Attempt) Withdraw() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.written && !a.aborted {
+		a.aborted, a.cause = true, ending.Overtaken
+	}
+}
+
+// attach gives the connection to Abort, and says that the request is about to be written; false = too late.
 func (a *Attempt) attach(c *http1.ClientConn) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.conn = c
+	a.conn, a.written = c, !a.aborted
 	return !a.aborted
 }
 
@@ -159,7 +173,7 @@
 		c.Close()
 		return nil, nil
 	}
-	r.Facts.Progress, r.Facts.HTTP = ending.Headed, resp.Status
+	r.Facts.Progress, r.HTTP = ending.Headed, resp.Status
 	r.Report = parseLoad(resp.Header)
 	return c, resp
 }
@@ -172,7 +186,7 @@
 		return r
 	}
 	body, ok := a.whole(c, resp, &r)
-	if !ok || r.Facts.HTTP != 200 {
+	if !ok || r.HTTP != 200 {
 		return r
 	}
 	var reply struct {
@@ -188,10 +202,33 @@
 		return r
 	}
 	r.State, r.Facts.Kept = reply.State, max(0, reply.Usage.Details.Cached)
-	r.Facts.State = len(reply.State) > 0 && string(reply.State) != "null"
+	if len(reply.State) > 0 && string(reply.State) != "null" { // one that names no state is of no use
+		r.Facts.Meaning = ending.Read
+	}
 	return r
 }
 
+// Codes of errors by which an engine says that there is no state to fetch.
+const (
+	codeStateGone = "kv_state_not_found"
+	codeNoState   = "kv_state_required"
+)
+
+// meaning says what an answer that is no success means. The statuses by which a server judges the request rather than
+// itself are those of RFC 9110, section 15.5.
+func meaning(status int, code string) ending.Meaning {
+	if code == codeStateGone || code == codeNoState {
+		return ending.NoState
+	}
+	switch status {
+	case 429, 503:
+		return ending.Turned
+	case 400, 404, 405, 411, 413, 414, 415, 422, 431:
+		return ending.Judged
+	}
+	return ending.Error
+}
+
 // whole reads a whole answer and files what it says of an error.
 func (a *Attempt) whole(c *http1.ClientConn, resp *http1.Response, r *Result) ([]byte, bool) {
 	body, err := resp.ReadAll(maxReply)
@@ -209,7 +246,8 @@
 			} `json:"error"`
 		}
 		json.Unmarshal(body, &e) // a body of another shape has no code
-		r.Facts.Code, r.Reply = e.Error.Code, body
+		r.Reply = body
+		r.Facts.Meaning, r.Facts.Code = meaning(resp.Status, e.Error.Code), resp.Status
 	}
 	return body, true
 }
@@ -237,6 +275,7 @@
 	r.Facts.Cause, r.Err = cause, err
 	a.detach()
 	if cause == ending.Answered {
+		r.Facts.Meaning = ending.Done
 		a.Client.Pool.Done(c, resp)
 	} else {
 		c.Close()
@@ -347,15 +386,20 @@
 	return ending.ClientLeft
 }
 
+// Sweep closes connections that have rested for too long, CloseIdle all that rest, Close for good.
+func (cl *Client) Sweep()     { cl.Pool.Sweep() }
+func (cl *Client) CloseIdle() { cl.Pool.CloseIdle() }
+func (cl *Client) Close()     { cl.Pool.Close() }
+
 // Release lets go of a state, by the project's own call. Engines that lack it answer 404, and free the state by
 // their own time-out.
-func (cl *Client) Release(address, requestID string) error {
+func (cl *Client) Release(address, id string, n int, _ time.Duration) error {
 	c, err := cl.Pool.Get(address, cl.Connect)
 	if err != nil {
 		return err
 	}
 	c.SetDeadline(time.Now().Add(2 * time.Second))
-	body, _ := json.Marshal(map[string]string{"request_id": requestID})
+	body, _ := json.Marshal(map[string]string{"request_id": StateID(id, n)})
 	fields := []http1.Field{{Name: "Content-Type", Value: "application/json"}, {Name: "Via", Value: "1.1 " + cl.Node}}
 	if cl.Key != "" {
 		fields = append(fields, http1.Field{Name: "Authorization", Value: "Bearer " + cl.Key})
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http/httputil"
 	"net/textproto"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,21 +21,33 @@
 // Pool keeps idle connections to servers, by address. It is safe for concurrent use.
 type Pool struct {
 	MaxIdle int           // kept for each address
+	MaxOpen int           // open at once, idle ones included, which make room; 0 = no bound
 	Idle    time.Duration // after which an idle connection closes
 	Limits  Limits
+	// Chunk bounds the size of one chunk of an answer; 0 = no bound. Head bounds the time from the first byte of an answer
+	// to the end of its head; 0 = no bound but the connection's.
+	Chunk int64
+	Head  time.Duration
 
 	mu     sync.Mutex
 	idle   map[string][]*ClientConn
+	open   int
 	closed bool
 }
 
+// ErrNoRoom tells that the pool has as many connections open as it may.
+var ErrNoRoom = errors.New("http1: no room for another connection")
+
 // ClientConn is a connection to a server. It belongs to one goroutine, but for Close.
 type ClientConn struct {
-	addr string
-	nc   net.Conn
-	br   *bufio.Reader
-	lim  Limits
-	used time.Time
+	addr  string
+	pool  *Pool
+	once  sync.Once // of Close
+	nc    net.Conn
+	br    *bufio.Reader
+	lim   Limits
+	used  time.Time
+	until time.Time // the bound on reads and writes; zero = none
 	// Reused tells that the connection has carried an exchange before.
 	Reused bool
 }
@@ -51,11 +65,46 @@
 		}
 		c.Close()
 	}
+	if !p.enter() {
+		return nil, ErrNoRoom
+	}
 	nc, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
+		p.leave()
 		return nil, err
 	}
-	return &ClientConn{addr: addr, nc: nc, br: bufio.NewReaderSize(nc, 1<<10), lim: p.Limits}, nil
+	return &ClientConn{addr: addr, pool: p, nc: nc, br: bufio.NewReaderSize(nc, 1<<10), lim: p.Limits}, nil
+}
+
+// enter counts one more connection, closing one that rests if there is no room.
+func (p *Pool) enter() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.MaxOpen > 0 && p.open >= p.MaxOpen {
+		var oldest *ClientConn
+		for _, xs := range p.idle {
+			for _, c := range xs {
+				if oldest == nil || c.used.Before(oldest.used) {
+					oldest = c
+				}
+			}
+		}
+		if oldest == nil {
+			return false
+		}
+		xs := p.idle[oldest.addr]
+		p.idle[oldest.addr] = slices.DeleteFunc(xs, func(c *ClientConn) bool { return c == oldest })
+		oldest.nc.Close()
+		oldest.once.Do(func() { p.open-- })
+	}
+	p.open++
+	return true
+}
+
+func (p *Pool) leave() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
 }
 
 func (p *Pool) pop(addr string) *ClientConn {
@@ -75,19 +124,23 @@
 	c.nc.SetDeadline(time.Time{})
 	c.used = time.Now()
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.addr]) >= p.MaxIdle || c.br.Buffered() > 0 {
-		c.Close()
-		return
+	keep := !p.closed && len(p.idle[c.addr]) < p.MaxIdle && c.br.Buffered() == 0
+	if keep {
+		if p.idle == nil {
+			p.idle = map[string][]*ClientConn{}
+		}
+		p.idle[c.addr] = append(p.idle[c.addr], c)
 	}
-	if p.idle == nil {
-		p.idle = map[string][]*ClientConn{}
+	p.mu.Unlock()
+	if !keep {
+		c.Close()
 	}
-	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
 // Sweep closes connections that have been idle for too long; call it now and then.
 func (p *Pool) Sweep() {
+	var old []*ClientConn
+	defer func() { closeAll(old) }()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, xs := range p.idle {
@@ -96,9 +149,10 @@
 			if time.Since(c.used) < p.Idle {
 				keep = append(keep, c)
 			} else {
-				c.Close()
+				old = append(old, c)
 			}
 		}
+		clear(xs[len(keep):])
 		if len(keep) == 0 {
 			delete(p.idle, addr)
 		} else {
@@ -108,27 +162,26 @@
 }
 
 // CloseIdle closes the idle connections.
-func (p *Pool) CloseIdle() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.drop()
-}
+func (p *Pool) CloseIdle() { p.drop(false) }
 
 // Close closes the idle connections and keeps no more.
-func (p *Pool) Close() {
+func (p *Pool) Close() { p.drop(true) }
+
+func (p *Pool) drop(last bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closed = true
-	p.drop()
+	var all []*ClientConn
+	for _, xs := range p.idle {
+		all = append(all, xs...)
+	}
+	p.idle, p.closed = nil, p.closed || last
+	p.mu.Unlock()
+	closeAll(all)
 }
 
-func (p *Pool) drop() {
-	for _, xs := range p.idle {
-		for _, c := range xs {
-			c.Close()
-		}
+func closeAll(cs []*ClientConn) {
+	for _, c := range cs {
+		c.Close()
 	}
-	p.idle = nil
 }
 
 // alive looks, without waiting, for a close or for bytes that nobody asked for. Without it a request would be
@@ -153,10 +206,16 @@
 }
 
 // Close closes the connection; it may be called from any goroutine and ends a read or write that waits.
-func (c *ClientConn) Close() error { return c.nc.Close() }
+func (c *ClientConn) Close() error {
+	c.once.Do(c.pool.leave)
+	return c.nc.Close()
+}
 
 // SetDeadline bounds all reads and writes to come; the zero time lifts the bound.
-func (c *ClientConn) SetDeadline(t time.Time) { c.nc.SetDeadline(t) }
+func (c *ClientConn) SetDeadline(t time.Time) {
+	c.until = t
+	c.nc.SetDeadline(t)
+}
 
 // Send writes a request with a body and returns how many of all its bytes were handed to the connection, and
 // how many there were.
@@ -184,15 +243,23 @@
 	Status int
 	Header textproto.MIMEHeader
 	Body   io.Reader
-	keep   bool // the connection may be used again once the body has ended
+	// Chunked tells that the body comes in chunks.
+	Chunked bool
+	keep    bool // the connection may be used again once the body has ended
 }
 
 // ReadResponse reads the head of an answer; interim answers (1xx) are passed over.
 func (c *ClientConn) ReadResponse() (*Response, error) {
-	for range 8 {
+	if err := c.opening(); err != nil {
+		return nil, err
+	}
+	for range interim {
 		line, err := readLine(c.br, c.lim.Line)
+		if err == errLineTooLong {
+			return nil, bad(502, "status line too long")
+		}
 		if err != nil {
-			return nil, err
+			return nil, late(err)
 		}
 		status, minor, err := parseStatus(string(line))
 		if err != nil {
@@ -200,15 +267,53 @@
 		}
 		h, err := readHeader(c.br, c.lim)
 		if err != nil {
-			return nil, err
+			return nil, late(err)
 		}
 		if status >= 200 {
+			if c.pool.Head > 0 {
+				c.nc.SetReadDeadline(c.until)
+			}
 			return c.response(status, minor, h)
 		}
 	}
 	return nil, bad(502, "interim answers without end")
 }
 
+// interim is how many answers of status 1xx may stand before the one that counts.
+const interim = 16
+
+// opening waits for the first bytes of an answer, and bounds the time of its head from there. What cannot become a status
+// line is told at once: nobody need wait for the rest of it.
+func (c *ClientConn) opening() error {
+	if _, err := c.br.Peek(1); err != nil {
+		return err
+	}
+	if c.pool.Head > 0 {
+		if by := time.Now().Add(c.pool.Head); c.until.IsZero() || by.Before(c.until) {
+			c.nc.SetReadDeadline(by)
+		}
+	}
+	const start = "HTTP/1."
+	for n := 1; n <= len(start); n++ {
+		b, err := c.br.Peek(n)
+		if err != nil {
+			return late(err)
+		}
+		if b[n-1] != start[n-1] {
+			return bad(502, "what came is no answer: %q", clip(string(b)))
+		}
+	}
+	return nil
+}
+
+// late turns the end of the time within a head into an error of the message: its first bytes had come.
+func late(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return bad(502, "the head of the answer does not end")
+	}
+	return err
+}
+
 // parseStatus reads a status line.
 func parseStatus(line string) (status, minor int, err error) {
 	version, rest, _ := strings.Cut(line, " ")
@@ -231,7 +336,8 @@
 	case status == 204 || status == 304:
 		r.Body = bytes.NewReader(nil)
 	case frame.chunked:
-		r.Body = &chunkedBody{br: c.br, r: httputil.NewChunkedReader(c.br), lim: c.lim}
+		r.Chunked = true
+		r.Body = &chunkedBody{br: c.br, r: c.chunks(), lim: c.lim}
 	case frame.length >= 0:
 		r.Body = &sizedBody{r: c.br, left: frame.length}
 	default:
@@ -240,6 +346,79 @@
 	return r, nil
 }
 
+// chunks reads the chunks of an answer.
+func (c *ClientConn) chunks() io.Reader {
+	if c.pool.Chunk > 0 {
+		return &boundedChunks{br: c.br, max: c.pool.Chunk}
+	}
+	return httputil.NewChunkedReader(c.br)
+}
+
+// boundedChunks reads chunks of a bounded size, up to the last one. A size that cannot be read, or is beyond the bound, is
+// an error before a byte of its chunk is passed on.
+type boundedChunks struct {
+	br   *bufio.Reader
+	max  int64
+	left int64
+	tail bool // the line end behind a chunk is still to be read
+}
+
+func (b *boundedChunks) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		if err := b.next(); err != nil {
+			return 0, err
+		}
+	}
+	if int64(len(p)) > b.left {
+		p = p[:b.left]
+	}
+	n, err := b.br.Read(p)
+	b.left -= int64(n)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// next reads up to the first byte of a chunk; io.EOF = it was the last one.
+func (b *boundedChunks) next() error {
+	if b.tail {
+		line, err := readLine(b.br, 0)
+		if err != nil || len(line) > 0 {
+			return chunkError(err, "a chunk does not fit its size")
+		}
+	}
+	b.tail = true
+	line, err := readLine(b.br, 256)
+	if err != nil {
+		return chunkError(err, "a chunk's size has no end")
+	}
+	text, _, _ := strings.Cut(string(line), ";")
+	size, err := strconv.ParseUint(strings.TrimRight(text, " \t"), 16, 63)
+	if err != nil {
+		return bad(502, "chunk size %q cannot be read", clip(text))
+	}
+	if int64(size) > b.max {
+		return bad(502, "chunk of %d bytes exceeds %d", size, b.max)
+	}
+	if b.left = int64(size); size == 0 {
+		return io.EOF
+	}
+	return nil
+}
+
+// chunkError names what is wrong between chunks, where the peer and the time are not.
+func chunkError(err error, reason string) error {
+	var e *Error
+	switch {
+	case err == io.EOF:
+		return io.ErrUnexpectedEOF
+	case err == nil || err == errLineTooLong || errors.As(err, &e):
+		return bad(502, "%s", reason)
+	}
+	return err
+}
+
 // chunkedBody reads a chunked body and then its trailer, so that the connection can be used again.
 type chunkedBody struct {
 	br   *bufio.Reader
--- a/internal/http1/events.go
+++ b/internal/http1/events.go
@@ -10,10 +10,11 @@
 
 // EventReader reads server-sent events (WHATWG HTML, section 9.2) and keeps each as the bytes that came.
 type EventReader struct {
-	br  *bufio.Reader
-	max int
-	raw []byte
-	dat []byte
+	Comment func(line []byte) // is told comment lines; nil = nobody is
+	br      *bufio.Reader
+	max     int
+	raw     []byte
+	dat     []byte
 }
 
 // ErrEventTooLong tells of an event beyond the reader's bound.
@@ -71,6 +72,9 @@
 			e.raw, e.dat = e.raw[:0], e.dat[:0] // a comment, or an event without data
 			continue
 		}
+		if line[0] == ':' && e.Comment != nil {
+			e.Comment(line)
+		}
 		if rest, ok := bytes.CutPrefix(line, []byte("data:")); ok {
 			if has {
 				e.dat = append(e.dat, '\n')
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -161,3 +161,11 @@
 	var cut *cutError
 	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.As(err, &timeout) || errors.As(err, &cut)
 }
+
+// Target is the request's target as its line had it, but for the host of an absolute one.
+func (q *Request) Target() string {
+	if q.Query == "" {
+		return q.Path
+	}
+	return q.Path + "?" + q.Query
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -14,10 +14,30 @@
 
 // Times bound how long a peer may take.
 type Times struct {
-	Head  time.Duration // for a whole request head, from its first byte or from the opening of the connection
-	Body  time.Duration // for a whole request body
+	First time.Duration // from the opening of a connection to its first byte; 0 = Head
+	Head  time.Duration // for a whole request head, from its first byte
+	Body  time.Duration // for a whole request body, from the end of its head
+	Whole time.Duration // for head and body together, from the first byte; 0 = no further bound
 	Idle  time.Duration // between requests
+	Rest  time.Duration // after which a connection without a request may be closed to make room; 0 = restedFor
 	Write time.Duration // for one write to be taken: a slower reader counts as gone
+	// A draining server goes on accepting, and reading idle connections, for so long; 0 = drainAccept, drainIdle.
+	DrainAccept, DrainIdle time.Duration
+	Lobby                  time.Duration // for the first byte of a connection that is to be refused; 0 = lobbyWait
+	Linger                 time.Duration // that a closing connection is read on, so that its answer is not lost; 0 = lingerFor
+}
+
+// orElse returns the first of two times that is not 0.
+func orElse(a, b time.Duration) time.Duration {
+	if a > 0 {
+		return a
+	}
+	return b
+}
+
+// Takes is after which no request can come that was under way when the drain began.
+func (t Times) Takes() time.Duration {
+	return orElse(t.DrainAccept, drainAccept) + orElse(t.DrainIdle, drainIdle)
 }
 
 // DefaultTimes suit clients on a wide-area network.
@@ -39,6 +59,7 @@
 	Limits   Limits
 	Times    Times
 	MaxConns func() int // open at once, asked at each accept; further ones are answered 503 and closed; nil = no bound
+	Lobby    int        // connections that are refused at a time; 0 = lobbyMost
 	MaxBytes int64      // of request bodies held at once, over all connections; 0 = no bound
 	// Shared tells that other processes accept from the very same socket: what waits in its queue is theirs, so a
 	// drain stops accepting at once.
@@ -65,7 +86,9 @@
 	br   *bufio.Reader
 	idle atomic.Bool              // between requests
 	rest atomic.Int64             // Unix nanoseconds since when it is idle
+	said atomic.Bool              // a request has begun to come
 	x    atomic.Pointer[Exchange] // the latest, which Close must not wait for
+	by   time.Time                // when the present request must have come whole; zero = not bounded
 }
 
 const readBuffer = 1 << 10 // small: thousands of connections wait with one each
@@ -115,7 +138,7 @@
 		full = s.closeIdle(1) == 0 // one that rests makes room for one that asks
 	}
 	if full {
-		for s.lobby >= lobbyMost && !s.draining.Load() {
+		for s.lobby >= s.lobbySize() && !s.draining.Load() {
 			s.room.Wait()
 		}
 		s.lobby++
@@ -148,10 +171,17 @@
 	lobbyTime = time.Second
 )
 
+func (s *Server) lobbySize() int {
+	if s.Lobby > 0 {
+		return s.Lobby
+	}
+	return lobbyMost
+}
+
 // turnAway reads one request's head and refuses it.
 func (c *conn) turnAway() {
 	c.br = bufio.NewReaderSize(c.nc, readBuffer)
-	c.nc.SetReadDeadline(time.Now().Add(lobbyWait))
+	c.nc.SetReadDeadline(time.Now().Add(orElse(c.srv.Times.Lobby, lobbyWait)))
 	if _, err := c.br.Peek(1); err != nil {
 		return
 	}
@@ -171,14 +201,14 @@
 }
 
 // closeIdle is CloseIdle under the lock. Only what has rested for a while is closed: a request may be on its way to the
-// others.
+// others. Those that have never asked anything go first.
 func (s *Server) closeIdle(n int) (closed int) {
 	for ; closed < n; closed++ {
 		var oldest *conn
-		before := time.Now().Add(-restedFor).UnixNano()
+		before := time.Now().Add(-orElse(s.Times.Rest, restedFor)).UnixNano()
 		for c := range s.conns {
-			if at := c.rest.Load(); c.idle.Load() && at > 0 && at < before {
-				oldest, before = c, at
+			if at := c.rest.Load(); c.idle.Load() && at > 0 && at < before && (oldest == nil || c.before(oldest)) {
+				oldest = c
 			}
 		}
 		if oldest == nil {
@@ -190,6 +220,14 @@
 	return closed
 }
 
+// before tells whether c makes room sooner than o.
+func (c *conn) before(o *conn) bool {
+	if said := c.said.Load(); said != o.said.Load() {
+		return !said
+	}
+	return c.rest.Load() < o.rest.Load()
+}
+
 // restedFor is how long a connection has rested before it may be closed to make room.
 const restedFor = time.Second
 
@@ -215,23 +253,22 @@
 	defer s.mu.Unlock()
 	s.room.Broadcast()
 	if l, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok && !s.Shared {
-		l.SetDeadline(time.Now().Add(drainAccept))
+		l.SetDeadline(time.Now().Add(orElse(s.Times.DrainAccept, drainAccept)))
 	} else if s.listener != nil {
 		s.listener.Close()
 	}
 	for c := range s.conns {
 		if c.idle.Load() {
-			c.nc.SetReadDeadline(time.Now().Add(drainIdle))
+			c.nc.SetReadDeadline(time.Now().Add(orElse(s.Times.DrainIdle, drainIdle)))
 		}
 	}
 }
 
-// How long a draining server goes on accepting, and reading idle connections. DrainTakes is after which no request can
-// come that was under way when the drain began.
+// Times that a protocol may set otherwise.
 const (
 	drainAccept = 50 * time.Millisecond
 	drainIdle   = 200 * time.Millisecond
-	DrainTakes  = drainAccept + drainIdle
+	lingerFor   = 500 * time.Millisecond
 )
 
 // Wait waits until all connections have ended, or the time has passed; it tells whether they have.
@@ -270,20 +307,25 @@
 func (c *conn) serve() {
 	s := c.srv
 	c.br = bufio.NewReaderSize(c.nc, readBuffer)
-	wait := s.Times.Head // before the first request a connection gets no idle time
+	wait := orElse(s.Times.First, s.Times.Head) // before the first request a connection gets no idle time
 	for {
 		c.idle.Store(true)
 		c.rest.Store(time.Now().UnixNano())
 		if s.draining.Load() {
-			wait = min(wait, drainIdle)
+			wait = min(wait, orElse(s.Times.DrainIdle, drainIdle))
 		}
 		c.nc.SetReadDeadline(time.Now().Add(wait))
 		if _, err := c.br.Peek(1); err != nil {
 			return
 		}
 		c.idle.Store(false)
+		c.said.Store(true)
 		arrived := time.Now()
-		c.nc.SetReadDeadline(arrived.Add(s.Times.Head))
+		c.by = time.Time{}
+		if s.Times.Whole > 0 {
+			c.by = arrived.Add(s.Times.Whole)
+		}
+		c.readBy(arrived.Add(s.Times.Head))
 		q, err := ReadRequest(c.br, s.Limits)
 		if err == nil {
 			err = c.body(q)
@@ -295,9 +337,10 @@
 		x := &Exchange{Request: q, Arrived: arrived, c: c, done: make(chan struct{})}
 		c.x.Store(x)
 		c.nc.SetReadDeadline(time.Time{})
+		size := int64(len(q.Body)) // the handler may take the body away
 		s.Handler.Serve(x)
 		gone := c.watch(x)
-		s.held.Add(-int64(len(q.Body)))
+		s.held.Add(-size)
 		if gone || x.last() {
 			c.linger(gone)
 			return
@@ -306,6 +349,14 @@
 	}
 }
 
+// readBy bounds the reads of a request: by the time given and, if it is bounded, by that of the whole request.
+func (c *conn) readBy(at time.Time) {
+	if !c.by.IsZero() && c.by.Before(at) {
+		at = c.by
+	}
+	c.nc.SetReadDeadline(at)
+}
+
 // body reads the request's body, within the bytes that all connections together may hold.
 func (c *conn) body(q *Request) error {
 	s := c.srv
@@ -326,7 +377,7 @@
 		s.held.Add(-reserve)
 		return &Error{503, "too many bytes of requests are held"}
 	}
-	c.nc.SetReadDeadline(time.Now().Add(s.Times.Body))
+	c.readBy(time.Now().Add(s.Times.Body))
 	err := q.ReadBody(c.br, s.Limits)
 	if err != nil {
 		s.held.Add(-reserve)
@@ -393,7 +444,7 @@
 func (c *conn) linger(gone bool) {
 	if tc, ok := c.nc.(interface{ CloseWrite() error }); ok && !gone {
 		tc.CloseWrite()
-		c.nc.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+		c.nc.SetReadDeadline(time.Now().Add(orElse(c.srv.Times.Linger, lingerFor)))
 		io.CopyN(io.Discard, c.nc, 256<<10)
 	}
 }
--- a/internal/members/consul_test.go
+++ b/internal/members/consul_test.go
@@ -1,6 +1,7 @@
 package members
 
 import (
+	"dillroute/internal/protocol"
 	"strings"
 	"testing"
 	"time"
@@ -18,7 +19,7 @@
 }
 
 // listed starts a list server and follows it.
-func listed(t *testing.T, ids ...string) (*standin.ListServer, chan *List, chan string) {
+func listed(t *testing.T, ids ...string) (*standin.ListServer, chan protocol.List, chan string) {
 	t.Helper()
 	s := standin.NewListServer(100)
 	if err := s.Start(); err != nil {
@@ -37,7 +38,7 @@
 }
 
 // until reads beliefs until one names just these engines; draining ones carry a mark.
-func until(t *testing.T, lists chan *List, want string) *List {
+func until(t *testing.T, lists chan protocol.List, want string) protocol.List {
 	t.Helper()
 	got := ""
 	for range 50 {
@@ -55,7 +56,7 @@
 		}
 	}
 	t.Fatalf("believed %q at last, want %q", got, want)
-	return nil
+	return protocol.List{}
 }
 
 func TestBlockingQueriesBringChangesAtOnce(t *testing.T) {
@@ -121,7 +122,7 @@
 	s.Set(instances("a", "b", "c", "d", "e"))
 	// The empty answer stands until its confirmation is due; the full one before that wins.
 	s.SetFaults(standin.ListFaults{})
-	if l := until(t, lists, "a b c d e"); l == nil || time.Since(start) > 15*time.Second {
+	if l := until(t, lists, "a b c d e"); len(l.Engines) == 0 || time.Since(start) > 15*time.Second {
 		t.Fatal("late")
 	}
 }
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -5,7 +5,6 @@
 	"fmt"
 
 	"dillroute/api"
-	"dillroute/brain"
 	"dillroute/internal/config"
 	"dillroute/internal/decide/believe"
 )
@@ -27,13 +26,6 @@
 	Engines []Entry `json:"engines"`
 }
 
-// List is a list as the node believes it.
-type List struct {
-	Engines   []brain.Engine
-	Addresses map[string]string // by id
-	Saved     bool              // known from an earlier run alone
-}
-
 var schema = config.MustSchema(api.ListSchema)
 
 // Parser turns lists into entries. Cells are numbered as they are first met, and keep their number.
--- a/internal/members/source.go
+++ b/internal/members/source.go
@@ -12,6 +12,7 @@
 	"dillroute/brain"
 	"dillroute/internal/config"
 	"dillroute/internal/decide/believe"
+	"dillroute/internal/protocol"
 )
 
 // answer is what a source gave, or why it gave nothing.
@@ -34,7 +35,7 @@
 	src      source
 	parser   *Parser
 	saved    string // file in which the believed list is kept; "" = none
-	take     func(*List)
+	take     func(protocol.List)
 	complain func(string)
 	stop     chan struct{}
 	done     chan struct{}
@@ -45,10 +46,10 @@
 // FollowOptions say where lists come from and who is told.
 type FollowOptions struct {
 	Config   *config.Config
-	Saved    string         // file of the last believed list, read at the start; "" = none
-	Take     func(*List)    // a new belief; called on the follower's goroutine
-	Complain func(string)   // why something was not believed, once for each cause
-	Draw     func() float64 // chance for the spread of calls; nil = the system's
+	Saved    string              // file of the last believed list, read at the start; "" = none
+	Take     func(protocol.List) // a new belief; called on the follower's goroutine
+	Complain func(string)        // why something was not believed, once for each cause
+	Draw     func() float64      // chance for the spread of calls; nil = the system's
 }
 
 // Follow starts following. Where nothing was saved, a list file that cannot be read is an error; a list server that
@@ -144,7 +145,7 @@
 // tell hands the belief on, and saves it.
 func (f *Follower) tell(now float64) {
 	b := f.believer.Believed(now)
-	l := &List{Addresses: map[string]string{}, Saved: b.Saved}
+	l := protocol.List{Form: brain.ListFull, Addresses: map[string]string{}, Saved: b.Saved}
 	for _, e := range b.Entries {
 		n := brain.Engine{ID: e.ID, Kind: e.Kind, Cell: e.Cell, Zone: e.Zone, Weight: e.Weight, BootTime: e.Boot}
 		if e.State == believe.Draining {
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -1,17 +1,14 @@
 package node
 
 import (
-	"fmt"
-	"strconv"
 	"time"
 
 	"dillroute/brain"
 	"dillroute/internal/decide/ending"
 	"dillroute/internal/decide/ledger"
 	"dillroute/internal/decide/letgo"
-	"dillroute/internal/engine"
-	"dillroute/internal/front"
 	"dillroute/internal/http1"
+	"dillroute/internal/protocol"
 )
 
 // carry begins one command of the book. It runs on the owner's goroutine and never waits for a socket.
@@ -20,15 +17,15 @@
 	case ledger.Start:
 		n.start(now, cmd)
 	case ledger.Abort:
-		if c := n.calls[cmd.ID]; c != nil && c.attempts[cmd.N] != nil {
+		if c := n.calls[cmd.ID]; c != nil && c.attempts[cmd.N].Attempt != nil {
 			c.attempts[cmd.N].Abort(cmd.Cause)
 		}
 	case ledger.Grant:
 		if c := n.calls[cmd.ID]; c != nil && c.grants[cmd.N] != nil {
 			if cmd.OK {
 				n.core.wheel.Cancel(c.guard)
-				n.guard(c)   // another deadline holds now, or none
-				c.chat = nil // there will be no other attempt; a long stream need not hold the prompt
+				n.guard(c) // another deadline holds now, or none
+				c.job.Granted()
 			}
 			c.grants[cmd.N] <- cmd.OK
 		}
@@ -38,8 +35,7 @@
 		n.answer(cmd)
 	case ledger.Pass:
 		if c := n.calls[cmd.ID]; c != nil {
-			r := c.replies[cmd.N]
-			n.reply(c, r.status, append(front.RetryFields(false, 0), front.JSONType), r.body)
+			n.say(c, c.job.Judged(cmd.N))
 			n.metrics.answered("judged")
 		}
 	case ledger.Forget:
@@ -50,9 +46,6 @@
 	}
 }
 
-// stateID names a state at the engines: reads of one request must not be taken for each other.
-func stateID(id string, n int) string { return id + "." + strconv.Itoa(n) }
-
 // start begins an attempt on a goroutine of its own.
 func (n *Node) start(now float64, cmd ledger.Start) {
 	c := n.calls[cmd.ID]
@@ -65,34 +58,23 @@
 	if at, ok := n.core.book.Deadline(cmd.ID); ok && (limit <= 0 || limit > at-now) {
 		limit = at - now
 	}
-	a := &engine.Attempt{Client: n.engines, RequestID: stateID(cmd.ID, cmd.N), Address: n.addresses[cmd.Engine],
-		Extra: c.extra, Timeout: max(time.Millisecond, seconds(limit))}
-	if cmd.Stage == ending.Prefill {
-		a.Body = c.chat.PrefillBody()
-	} else if cmd.State {
-		a.RequestID = stateID(cmd.ID, cmd.StateN)
-		a.Body = c.chat.DecodeBody(c.states[cmd.StateN])
-	} else {
-		a.Body = c.chat.DecodeBody(nil)
-	}
-	c.attempts[cmd.N] = a
-	n.log.Debug("attempt", "request", cmd.ID, "attempt", cmd.N, "engine", cmd.Engine, "prefill", cmd.Stage == ending.Prefill)
-	if cmd.Stage == ending.Prefill {
-		n.running.start(func() { n.ended(cmd, a.Prefill()) })
-		return
-	}
-	grant := make(chan bool, 1)
-	c.grants[cmd.N] = grant
-	s := &stream{node: n, call: c, n: cmd.N, engine: cmd.Engine, grant: grant}
-	if !c.chat.Stream {
-		s.gather = front.NewGather(n.view.Load().cfg.Limits.MaxAnswer)
-	}
-	n.running.start(func() { n.ended(cmd, a.Decode(s)) })
+	a := c.job.Attempt(protocol.Call{N: cmd.N, Address: n.addresses[cmd.Engine], Stage: cmd.Stage, State: cmd.State,
+		StateN: cmd.StateN, Timeout: max(time.Millisecond, seconds(limit))})
+	c.attempts[cmd.N] = try{a, cmd.Engine}
+	n.log.Debug("attempt", "request", cmd.ID, "attempt", cmd.N, "engine", cmd.Engine, "prefill", cmd.Stage == ending.Prefill,
+		"state", cmd.State, "limit", limit)
+	s := &stream{node: n, call: c, n: cmd.N, engine: cmd.Engine}
+	if cmd.Stage == ending.Decode {
+		s.grant = make(chan bool, 1)
+		c.grants[cmd.N] = s.grant
+	}
+	n.running.start(func() { n.ended(cmd, a.Run(s)) })
 }
 
 // ended reports the end of an attempt to the owner.
-func (n *Node) ended(cmd ledger.Start, r engine.Result) {
+func (n *Node) ended(cmd ledger.Start, r protocol.Result) {
 	n.core.post(func(now float64) {
+		n.met(now, cmd.Engine, r.Facts)
 		c := n.calls[cmd.ID]
 		if c == nil {
 			return
@@ -101,62 +83,94 @@
 			n.short(n.server.Conns())
 		}
 		if r.Err != nil {
-			n.log.Debug("attempt ended", "request", cmd.ID, "attempt", cmd.N, "engine", cmd.Engine, "error", r.Err.Error())
-		}
-		if r.Facts.State {
-			c.states[cmd.N] = r.State
-		}
-		if r.Facts.HTTP >= 400 {
-			c.replies[cmd.N] = reply{r.Facts.HTTP, r.Reply}
+			n.log.Debug("attempt ended", "request", cmd.ID, "attempt", cmd.N, "engine", cmd.Engine, "progress", r.Facts.Progress,
+				"cause", r.Facts.Cause, "error", r.Err.Error())
 		}
+		c.job.Ended(cmd.N, r)
 		delete(c.attempts, cmd.N)
 		delete(c.grants, cmd.N)
 		if r.Facts.Cause == ending.ClientLeft {
 			n.core.book.Hangup(now, cmd.ID, false)
 		}
-		if r.Facts.Cause == ending.Answered && r.Facts.HTTP == 200 && cmd.Stage == ending.Decode {
+		if r.Facts.Cause == ending.Answered && r.Facts.Meaning == ending.Done && cmd.Stage == ending.Decode {
 			n.metrics.answered("served")
 		}
 		n.core.book.Ended(now, cmd.ID, cmd.N, r.Facts, r.Report)
 	})
 }
 
-// release calls the engine that may hold a state.
+// met files whether an engine answered.
+func (n *Node) met(now float64, engine string, f ending.Facts) {
+	if !n.plan.anyone || n.addresses[engine] == "" {
+		return
+	}
+	k := n.contacts[engine]
+	switch f.Cause {
+	case ending.Answered:
+		k.good = now
+	case ending.Broken, ending.Expired, ending.Stalled:
+		k.bad = now
+	}
+	n.contacts[engine] = k
+}
+
+// release has a state let go of, by the engine that may hold it, or where any engine can, by whichever answers.
 func (n *Node) release(now float64, cmd ledger.Release) {
-	address := n.addresses[cmd.Engine]
-	if c := n.calls[cmd.ID]; c != nil {
-		delete(c.states, cmd.N)
+	plan := letgo.Plan{By: now + n.plan.letGoBy}
+	n.releasing++
+	n.core.wheel.Add(letgo.Ready(now, cmd.Cut && n.plan.anyone), func(now float64) { n.releaseBy(now, cmd, plan) })
+}
+
+// releaseBy makes one call that releases.
+func (n *Node) releaseBy(now float64, cmd ledger.Release, plan letgo.Plan) {
+	if !n.core.book.Wanted(cmd) {
+		n.releasing--
+		return
 	}
-	plan := letgo.Plan{By: now + n.view.Load().cfg.Rules.LetGoBy}
+	engine := cmd.Engine
+	if n.plan.anyone {
+		engine = n.releaser(cmd.Engine, plan.Tries)
+	}
+	address, within := n.addresses[engine], seconds(plan.Within(now))
 	n.running.start(func() {
-		for {
-			err := n.engines.Release(address, stateID(cmd.ID, cmd.N))
-			o := letgo.Answered
+		err := n.caller.Release(address, cmd.ID, cmd.N, within)
+		n.core.post(func(now float64) {
+			o, k := letgo.Answered, n.contacts[engine]
 			if err != nil {
-				o = letgo.Lost
+				o, k.bad = letgo.Lost, now
 				if http1.NoFiles(err) {
 					n.short(n.server.Conns())
 				}
-				n.log.Debug("state not released", "request", cmd.ID, "engine", cmd.Engine, "error", err.Error())
+				n.log.Debug("state not released", "request", cmd.ID, "engine", engine, "error", err.Error())
+			} else {
+				k.good = now
 			}
-			at, again := plan.Next(n.core.clock.now(), o)
-			if !again || !n.pause(at) {
-				return
+			if n.plan.anyone && n.addresses[engine] != "" {
+				n.contacts[engine] = k
 			}
-		}
+			if at, again := plan.Next(now, o); again {
+				if n.plan.anyone {
+					at = now // another engine is asked, so there is nothing to wait for
+				}
+				n.core.wheel.Add(at, func(now float64) { n.releaseBy(now, cmd, plan) })
+			} else {
+				n.releasing--
+			}
+		})
 	})
 }
 
-// pause waits until a time; false = the node has stopped.
-func (n *Node) pause(at float64) bool {
-	t := time.NewTimer(seconds(at - n.core.clock.now()))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-n.core.done:
-		return false
+// releaser is the engine that is asked to let go in the try given.
+func (n *Node) releaser(holder string, try int) string {
+	var all []letgo.Engine
+	for _, id := range sortedKeys(n.addresses) {
+		k := n.contacts[id]
+		all = append(all, letgo.Engine{ID: id, Listed: n.core.book.Listed(id), Holder: id == holder, Good: k.good, Bad: k.bad})
 	}
+	if len(all) == 0 {
+		return holder
+	}
+	return letgo.Order(all)[try%len(all)].ID
 }
 
 // answer gives the node's own final answer: a whole one, or the end of a stream that had begun.
@@ -171,26 +185,14 @@
 		kind = "refused"
 	}
 	n.metrics.answered(kind)
-	n.log.Info("answered by the node", "request", c.id, "status", a.HTTP, "code", a.Code, "retry", a.Retry)
-	body := front.ErrorJSON(a.HTTP, a.Code, "", cmd.Reason)
-	n.reply(c, a.HTTP, append(front.RetryFields(a.Retry, cmd.RetryAfter), front.JSONType), body)
+	n.log.Debug("answered by the node", "request", c.id, "status", a.HTTP, "code", a.Code, "retry", a.Retry, "after", cmd.RetryAfter)
+	n.say(c, c.job.Word(a, cmd.RetryAfter, cmd.Reason))
 }
 
-// reply writes a last word on a goroutine of its own, for the client may be slow to take it.
-func (n *Node) reply(c *call, status int, fields []http1.Field, body []byte) {
+// say writes a last word on a goroutine of its own, for the client may be slow to take it.
+func (n *Node) say(c *call, w protocol.Word) {
 	c.answered = true
-	n.running.start(func() {
-		fields = append(fields, http1.Field{Name: "X-Request-Id", Value: c.id})
-		if !c.x.Begun() {
-			c.x.Reply(status, fields, body) // an error: the client is gone
-			return
-		}
-		if _, err := c.x.Write(http1.AppendEvent(nil, body)); err != nil {
-			c.x.Cut()
-			return
-		}
-		c.x.End()
-	})
+	n.running.start(func() { c.job.Say(w) })
 }
 
 // forget drops a call. A client that was promised nothing more, and has not had the end of its answer, is cut off.
@@ -206,15 +208,13 @@
 	}
 }
 
-// stream passes the answer of one attempt to the client. It belongs to the attempt's goroutine.
+// stream is what one attempt tells the host.
 type stream struct {
-	node    *Node
-	call    *call
-	n       int
-	engine  string
-	grant   chan bool
-	gather  *front.Gather // where the client asked for a whole answer
-	pending []byte        // events that leave with the next
+	node   *Node
+	call   *call
+	n      int
+	engine string
+	grant  chan bool
 }
 
 // Load tells the module the engine's load when its answer begins, as the result of a probe would.
@@ -250,64 +250,3 @@
 	s.node.metrics.first.Observe(time.Since(s.call.started).Seconds())
 	return true
 }
-
-// Event passes an event on; a whole answer is gathered.
-func (s *stream) Event(data, raw []byte, more bool) error {
-	if s.gather != nil {
-		if err := s.gather.Add(data); err != nil {
-			return fmt.Errorf("%w: %v", engine.ErrUnfit, err)
-		}
-		return nil
-	}
-	if !s.call.x.Begun() {
-		err := s.call.x.Begin(200, []http1.Field{{Name: "Content-Type", Value: "text/event-stream; charset=utf-8"},
-			{Name: "Cache-Control", Value: "no-cache"}, {Name: "X-Request-Id", Value: s.call.id}})
-		if err != nil {
-			return fmt.Errorf("client: %w", err)
-		}
-	}
-	if more && len(s.pending)+len(raw) <= maxTogether {
-		s.pending = append(s.pending, raw...)
-		return nil
-	}
-	return s.flush(raw)
-}
-
-// maxTogether bounds the bytes of events that leave in one write.
-const maxTogether = 8 << 10
-
-// Flush writes the events that wait.
-func (s *stream) Flush() error {
-	if len(s.pending) == 0 {
-		return nil
-	}
-	return s.flush(nil)
-}
-
-// flush writes the events that wait, and one more.
-func (s *stream) flush(raw []byte) error {
-	if len(s.pending) > 0 {
-		raw = append(s.pending, raw...)
-		s.pending = s.pending[:0]
-		if cap(raw) > maxTogether/4 { // a stream that rushed once holds no buffer for ever
-			s.pending = nil
-		}
-	}
-	_, err := s.call.x.Write(raw)
-	return err
-}
-
-// Finish gives the end of the answer.
-func (s *stream) Finish() error {
-	if s.gather != nil {
-		body, err := s.gather.Bytes()
-		if err != nil {
-			return fmt.Errorf("%w: %v", engine.ErrUnfit, err)
-		}
-		return s.call.x.Reply(200, []http1.Field{front.JSONType, {Name: "X-Request-Id", Value: s.call.id}}, body)
-	}
-	if err := s.flush([]byte("data: [DONE]\n\n")); err != nil {
-		return err
-	}
-	return s.call.x.End()
-}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -28,7 +28,7 @@
 	t      testing.TB
 	log    *record.Log
 	fleet  *fleet.Fleet
-	node   *node.Node
+	node   *node.ChatNode
 	client *client.Client
 	list   string
 	ops    int
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,27 +4,20 @@
 package node
 
 import (
-	"encoding/json"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"dillroute/brain"
-	"dillroute/internal/config"
 	"dillroute/internal/decide/ending"
-	"dillroute/internal/decide/intake"
 	"dillroute/internal/decide/ledger"
 	"dillroute/internal/decide/rhythm"
-	"dillroute/internal/engine"
-	"dillroute/internal/front"
+	"dillroute/internal/decide/strain"
 	"dillroute/internal/http1"
-	"dillroute/internal/members"
-	"dillroute/internal/service"
+	"dillroute/internal/protocol"
 	"dillroute/internal/wheel"
 )
 
@@ -32,15 +25,14 @@
 type Node struct {
 	log     *slog.Logger
 	core    *core
-	engines *engine.Client
+	plan    plan
+	front   protocol.Front
+	caller  protocol.Caller
 	server  *http1.Server
 	admin   *http1.Server
-	lists   *members.Follower
+	lists   protocol.Lists
 	addr    net.Addr
 	aaddr   net.Addr
-	prefix  string // of request ids: no two starts of a node make the same
-	serial  atomic.Uint64
-	view    atomic.Pointer[view]
 	metrics *metrics
 	running jobs // attempts, releases and answers
 	loops   sync.WaitGroup
@@ -52,13 +44,25 @@
 	// Of the owner.
 	calls     map[string]*call
 	addresses map[string]string
+	contacts  map[string]contact
+	releasing int // states that are being let go of
 }
 
-// view is what connections need of the settings; it is replaced whole.
-type view struct {
-	cfg   *config.Config
-	table *intake.Table
-	body  []byte // of /v1/models
+// contact is when an engine last answered a call, and when one last failed (s); 0 = never.
+type contact struct{ good, bad float64 }
+
+// plan is what the host needs of the settings of whatever protocol it speaks. Times are in seconds.
+type plan struct {
+	brain   brain.Config
+	book    ledger.Config
+	tick    float64
+	letGoBy float64 // within which a state must be let go of
+	strain  strain.Limits
+	times   http1.Times
+	limits  http1.Limits
+	lobby   int   // connections that are refused at a time; 0 = as the server has it
+	held    int64 // bytes of request bodies held at once; 0 = no bound
+	anyone  bool  // any engine lets go of what any holds
 }
 
 // Option changes a node from its default.
@@ -83,96 +87,62 @@
 // WithAdminListener serves the admin paths on a listener that is open already.
 func WithAdminListener(l net.Listener) Option { return func(o *options) { o.admin = l } }
 
-// Start starts a node. The engine list must be readable.
-func Start(cfg *config.Config, opts ...Option) (*Node, error) {
+func choose(opts []Option) options {
 	o := options{log: slog.Default(), seed: rand.Uint64()}
 	for _, f := range opts {
 		f(&o)
 	}
-	router, err := brain.New(cfg.Brain(), o.seed)
+	return o
+}
+
+// newNode makes a node that has no sockets yet.
+func newNode(p plan, o options) (*Node, error) {
+	router, err := brain.New(p.brain, o.seed)
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{log: o.log, calls: map[string]*call{}, addresses: map[string]string{}, failed: make(chan error, 1),
-		prefix: fmt.Sprintf("%s-%08x", cfg.Node.Name, rand.Uint32()), metrics: newMetrics()}
-	n.setView(cfg)
+	n := &Node{log: o.log, plan: p, calls: map[string]*call{}, addresses: map[string]string{}, contacts: map[string]contact{},
+		failed: make(chan error, 1), metrics: newMetrics()}
 	clk := newClock()
-	n.strain = newKeeping(cfg, clk)
-	n.core = &core{clock: clk, beat: rhythm.Beat{Tick: cfg.Tick}, router: router, book: ledger.New(bookConfig(cfg), cfg.Brain().Kinds),
+	n.strain = newKeeping(p.strain, clk)
+	n.core = &core{clock: clk, beat: rhythm.Beat{Tick: p.tick}, router: router, book: ledger.New(p.book, p.brain.Kinds),
 		wheel: wheel.New[func(float64)](clk.now(), 0.001), wake: make(chan struct{}, 1), done: make(chan struct{}),
 		carry: n.carry, side: n.side, decide: n.metrics.decided, broken: n.breakDown, late: n.strain.late}
-	n.engines = &engine.Client{Node: cfg.Node.Name, Key: cfg.Engines.Key, Connect: seconds(cfg.Limits.Connect),
-		Stall: func() time.Duration { return seconds(n.view.Load().cfg.Limits.Stall) }, MaxEvent: cfg.Limits.MaxEvent,
-		Pool: &http1.Pool{MaxIdle: cfg.Limits.EngineIdleConns, Idle: seconds(cfg.Limits.EngineIdle),
-			Limits: http1.DefaultLimits}}
-	if err := n.listen(cfg, o.listener, o.admin); err != nil {
-		return nil, err
-	}
-	n.lists, err = members.Follow(members.FollowOptions{Config: cfg, Saved: savedList(cfg), Take: n.takeList,
-		Complain: func(text string) { n.log.Error("engine list", "text", text) }})
-	if err != nil {
-		n.server.Close()
-		if n.admin != nil {
-			n.admin.Close()
-		}
-		return nil, fmt.Errorf("engine list: %w", err)
-	}
-	n.go_(n.core.run)
-	n.sweep()
 	return n, nil
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-func bookConfig(cfg *config.Config) ledger.Config {
-	return ledger.Config{Classes: cfg.Brain().Classes, MaxOpen: cfg.Limits.MaxOpen, MaxAttempts: cfg.Limits.MaxAttempts,
-		Slack: cfg.Rules.AnswerSlack, DrainGrace: cfg.Rules.DrainGrace}
-}
-
-// savedList is where the last believed list is kept; "" = nowhere.
-func savedList(cfg *config.Config) string {
-	if cfg.StateDir == "" {
-		return ""
-	}
-	return filepath.Join(cfg.StateDir, "engines.json")
-}
-
 // go_ runs a loop that Stop waits for.
 func (n *Node) go_(f func()) {
 	n.loops.Add(1)
 	go func() { defer n.loops.Done(); f() }()
 }
 
-// listen opens the sockets.
-func (n *Node) listen(cfg *config.Config, l, al net.Listener) error {
-	var err error
-	handed := l != nil
-	if l == nil {
-		if l, err = service.Listen(cfg.Listen, cfg.ListenShared); err != nil {
-			return fmt.Errorf("/listen: %w", err)
-		}
-	}
-	lim := http1.DefaultLimits
-	lim.Body = cfg.Limits.MaxBody
+// serveOn serves clients on a listener. Handed tells that other processes accept from the same socket.
+func (n *Node) serveOn(l net.Listener, handed bool) {
 	n.addr = l.Addr()
-	n.server = &http1.Server{Shared: handed, Handler: http1.HandlerFunc(n.serve), Limits: lim, MaxConns: n.strain.connections,
-		MaxBytes: cfg.Limits.MaxHeld, Short: n.short, Fault: n.fault,
-		Times: http1.Times{Head: seconds(cfg.Limits.Head), Body: seconds(cfg.Limits.Body), Idle: seconds(cfg.Limits.Idle),
-			Write: seconds(cfg.Limits.Write)}}
-	if al == nil && cfg.Admin != "" {
-		if al, err = service.Listen(cfg.Admin, cfg.ListenShared); err != nil {
-			l.Close()
-			return fmt.Errorf("/admin: %w", err)
-		}
-	}
-	if al != nil {
-		n.aaddr = al.Addr()
-		n.admin = &http1.Server{Handler: http1.HandlerFunc(n.serveAdmin), Limits: http1.DefaultLimits,
-			Times: http1.DefaultTimes, MaxConns: func() int { return 100 }, MaxBytes: 1 << 20}
-		n.go_(func() { n.admin.Serve(al) })
-	}
+	n.server = &http1.Server{Shared: handed, Limits: n.plan.limits, MaxConns: n.strain.connections, MaxBytes: n.plan.held, Lobby: n.plan.lobby,
+		Short: n.short, Times: n.plan.times,
+		Handler: http1.HandlerFunc(func(x *http1.Exchange) {
+			n.front.Serve(x, func(q protocol.Asked) bool {
+				return n.core.post(func(now float64) { n.take(now, x, q) })
+			})
+		}),
+		Fault: func(status int, reason string) ([]http1.Field, []byte) {
+			after := 0.0
+			if status == 503 {
+				after = n.strain.back()
+			}
+			return n.front.Fault(status, reason, after)
+		}}
 	n.go_(func() { n.server.Serve(l) })
-	return nil
+}
+
+// begin starts the owner and its sweeps.
+func (n *Node) begin() {
+	n.go_(n.core.run)
+	n.sweep()
 }
 
 // Addr is where clients connect; Admin is nil where there is none.
@@ -184,19 +154,28 @@
 // Failed gets an error if the module breaks down; the node has answered what it held, and should be stopped.
 func (n *Node) Failed() <-chan error { return n.failed }
 
-// takeList hands a list to the owner.
-func (n *Node) takeList(l *members.List) {
-	n.log.Info("engine list taken", "engines", len(l.Engines), "saved", l.Saved)
+// takeList hands a list to the owner. Attempts at engines that it takes away, of which nothing has been written, go
+// elsewhere: the grace of a drain is no time to connect in.
+func (n *Node) takeList(l protocol.List) {
+	n.log.Debug("engine list taken", "engines", len(l.Engines), "saved", l.Saved)
 	n.core.post(func(now float64) {
 		for id, a := range l.Addresses {
 			n.addresses[id] = a
 		}
+		n.core.book.Members(now, brain.Members{Form: l.Form, Engines: l.Engines})
 		for id := range n.addresses {
-			if _, ok := l.Addresses[id]; !ok && len(n.calls) == 0 {
+			if !n.core.book.Known(id) {
 				delete(n.addresses, id)
+				delete(n.contacts, id)
+			}
+		}
+		for _, c := range n.calls {
+			for _, a := range c.attempts {
+				if !n.core.book.Listed(a.engine) {
+					a.Withdraw()
+				}
 			}
 		}
-		n.core.book.Members(now, brain.Members{Form: brain.ListFull, Engines: l.Engines})
 	})
 }
 
@@ -205,21 +184,13 @@
 	n.core.post(func(now float64) {
 		var again func(float64)
 		again = func(now float64) {
-			n.running.start(n.engines.Pool.Sweep)
+			n.running.start(n.caller.Sweep)
 			n.core.wheel.Add(now+1, again)
 		}
 		again(now)
 	})
 }
 
-// Reload takes what may change of a new configuration, and says what may not.
-func (n *Node) Reload(next *config.Config) (taken, refused []string) {
-	merged, taken, refused := n.view.Load().cfg.Merge(next)
-	n.setView(merged)
-	n.core.post(func(float64) { n.core.book.Reconfigure(bookConfig(merged)) })
-	return taken, refused
-}
-
 // Ready tells whether the node may be sent requests.
 func (n *Node) Ready() bool {
 	return n.ask(func() int {
@@ -230,42 +201,12 @@
 	}) == 1
 }
 
-// Config returns the settings in force.
-func (n *Node) Config() *config.Config { return n.view.Load().cfg }
-
-func (n *Node) setView(cfg *config.Config) {
-	models, rules := map[string]int{}, []intake.Rule{}
-	list := front.ModelList{}
-	for _, m := range cfg.Models {
-		models[m.Name], _ = cfg.ClassIndex(m.Class)
-		list.Add(m.Name)
-	}
-	for _, m := range cfg.Match {
-		class, _ := cfg.ClassIndex(m.Class)
-		r := intake.Rule{Model: m.Model, Header: m.Header, Class: class, AnyValue: m.Value == nil}
-		if m.Value != nil {
-			r.Value = *m.Value
-		}
-		rules = append(rules, r)
-	}
-	var classes []intake.Class
-	for _, c := range cfg.Classes {
-		classes = append(classes, intake.Class{Patience: c.Patience, PatiencePerK: c.PatiencePerK, MaxTokens: c.MaxTokens,
-			TokenAim: c.TokenAim})
-	}
-	var keys, hashes [][]string
-	for _, t := range cfg.Tenants {
-		keys, hashes = append(keys, t.Keys), append(hashes, t.KeysSHA256)
-	}
-	n.view.Store(&view{cfg, intake.NewTable(classes, models, rules, keys, hashes), list.Bytes()})
-}
-
 // Shutdown stops taking requests, lets held ones go on for the time given, answers the rest as refused or failed,
 // and stops the node.
 func (n *Node) Shutdown(wait time.Duration) {
 	deadline := time.Now().Add(wait)
 	n.server.Drain()
-	for end := time.Now().Add(http1.DrainTakes); time.Now().Before(earlier(end, deadline)) && !n.hurry.Load(); {
+	for end := time.Now().Add(n.plan.times.Takes()); time.Now().Before(earlier(end, deadline)) && !n.hurry.Load(); {
 		time.Sleep(5 * time.Millisecond) // what was on its way is still taken
 	}
 	n.core.post(func(now float64) { n.core.book.Close() })
@@ -299,8 +240,9 @@
 // Live returns how many requests wait for the end of their answer.
 func (n *Node) Live() int { return n.ask(func() int { return n.core.book.Live() }) }
 
-// Held returns how many requests the node has not forgotten: those, and ended ones of which an attempt is out.
-func (n *Node) Held() int { return n.ask(func() int { return n.core.book.Held() }) }
+// Held returns how many requests the node has not forgotten: those, ended ones of which an attempt is out, and those of
+// which a state is being let go of.
+func (n *Node) Held() int { return n.ask(func() int { return n.core.book.Held() + n.releasing }) }
 
 // Connections returns the number of open client connections.
 func (n *Node) Connections() int { return n.server.Conns() }
@@ -342,7 +284,7 @@
 	}
 	n.running.wait()
 	n.loops.Wait()
-	n.engines.Pool.Close()
+	n.caller.Close()
 }
 
 // breakDown is called by the owner when the module has panicked: what is held gets its answer by the book's own
@@ -373,19 +315,16 @@
 type call struct {
 	id       string
 	x        *http1.Exchange
-	chat     *front.Chat
-	extra    []http1.Field
-	attempts map[int]*engine.Attempt
+	job      protocol.Job
+	attempts map[int]try
 	grants   map[int]chan bool
-	states   map[int]json.RawMessage // by the attempt that read them
-	replies  map[int]reply
 	guard    *wheel.Timer[func(float64)]
 	answered bool // the answer has been given to a goroutine of its own
 	started  time.Time
 }
 
-// reply is an engine's own answer, kept in case it is passed on.
-type reply struct {
-	status int
-	body   []byte
+// try is an attempt that is out, and where.
+type try struct {
+	protocol.Attempt
+	engine string
 }
--- /dev/null
+++ b/internal/node/relay.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"dillroute/internal/decide/ledger"
+	"dillroute/internal/decide/strain"
+	"dillroute/internal/protocol"
+	"dillroute/internal/relay"
+)
+
+// RelayNode is a node that speaks the protocol of the users' platform.
+type RelayNode struct {
+	*Node
+	discovery *relay.Discovery
+}
+
+// StartRelay starts a node on the users' platform.
+func StartRelay(cfg *relay.Config, opts ...Option) (*RelayNode, error) {
+	o := choose(append([]Option{WithSeed(cfg.Seed)}, opts...))
+	p := relayPlan(cfg)
+	n, err := newNode(p, o)
+	if err != nil {
+		return nil, err
+	}
+	engines := relay.NewEngines(cfg.Settings, relay.EngineConns(cfg.Limits))
+	n.front, n.caller = relay.NewFront(cfg.Settings, engines, n.Ready, o.log), engines
+	l := o.listener
+	if l == nil {
+		if l, err = net.Listen("tcp", cfg.Listen); err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+	}
+	n.serveOn(l, false)
+	r := &RelayNode{Node: n}
+	r.discovery = relay.Follow(cfg.Discovery, cfg.Known, cfg.Settings, func(l protocol.List) { n.takeList(l) }, o.log)
+	n.lists = r.discovery
+	n.begin()
+	return r, nil
+}
+
+// Reload takes a new configuration: discovery may have moved.
+func (r *RelayNode) Reload(next *relay.Config) { r.discovery.Move(next.Discovery) }
+
+// relayPlan is the host's part of the configuration.
+func relayPlan(cfg *relay.Config) plan {
+	s, sizes := cfg.Settings, relay.Size(cfg.Limits)
+	rules := s.Brain.Rules
+	return plan{brain: s.Brain, tick: s.Brain.Tick, letGoBy: rules.LetGoBy, held: sizes.Bytes, anyone: true,
+		book: ledger.Config{Classes: s.Brain.Classes, MaxOpen: sizes.Requests, MaxAttempts: s.Brain.Limits.MaxAttempts,
+			Slack: rules.AnswerSlack + relay.Slack.Seconds()/2, DrainGrace: rules.DrainGrace, ReleaseAll: true},
+		strain: strain.Limits{Files: cfg.Limits.Sockets, Connections: sizes.Clients, Bytes: sizes.Bytes,
+			Slack: rules.AnswerSlack + relay.Slack.Seconds()/2},
+		times: relay.Times, limits: relay.RequestLimits, lobby: sizes.Lobby}
+}
+
+// LongestStop is how long a stop may wait for answers that run.
+const LongestStop = time.Minute
--- a/internal/node/strain.go
+++ b/internal/node/strain.go
@@ -4,9 +4,7 @@
 	"math/rand/v2"
 	"sync"
 
-	"dillroute/internal/config"
 	"dillroute/internal/decide/strain"
-	"dillroute/internal/service"
 )
 
 // keeping is how the node keeps up, as internal/decide/strain judges it. The owner, the accepting goroutine and those
@@ -17,13 +15,8 @@
 	state *strain.State
 }
 
-func newKeeping(cfg *config.Config, c clock) *keeping {
-	files := cfg.Limits.Files
-	if files == 0 {
-		files = service.Files()
-	}
-	return &keeping{clock: c, state: strain.New(strain.Limits{Files: files, Connections: cfg.Limits.MaxConnections,
-		Bytes: cfg.Limits.MaxHeld, Slack: cfg.Rules.AnswerSlack})}
+func newKeeping(lim strain.Limits, c clock) *keeping {
+	return &keeping{clock: c, state: strain.New(lim)}
 }
 
 // late files how late something was heard of.
@@ -65,6 +58,6 @@
 // short is told that no descriptor was left: idle connections make room, above all for calls that let go of states.
 func (n *Node) short(open int) {
 	n.strain.short(open)
-	n.engines.Pool.CloseIdle()
+	n.caller.CloseIdle()
 	n.metrics.shortages.Inc()
 }
--- /dev/null
+++ b/internal/node/take.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"dillroute/internal/decide/ending"
+	"dillroute/internal/decide/strain"
+	"dillroute/internal/http1"
+	"dillroute/internal/protocol"
+)
+
+// take enters a request in the book, if the node keeps up. Its client's time runs from its first byte, whatever has
+// passed since; our own lag is taken off.
+func (n *Node) take(now float64, x *http1.Exchange, asked protocol.Asked) {
+	q, whole, job := asked.Request, asked.Whole, asked.Job
+	patience := q.TimeLeft
+	v := n.strain.take(now, strain.Request{Patience: patience, Spent: time.Since(x.Arrived).Seconds(), Held: n.server.Held()})
+	if !v.OK {
+		n.metrics.strained.WithLabelValues(v.Why).Inc()
+		n.metrics.answered("turned_away")
+		n.turnAway(job, ending.Answer{HTTP: 503, Code: "node_overloaded", Retry: true}, v.RetryAfter, "the node does not keep up now")
+		return
+	}
+	q.TimeLeft = v.TimeLeft
+	if whole > 0 {
+		whole -= patience - v.TimeLeft
+	}
+	no, ok := n.core.book.Request(now, q, whole)
+	if !ok {
+		n.metrics.answered("turned_away")
+		after := 0.0
+		if no.Retry {
+			after = n.strain.back()
+		}
+		n.turnAway(job, no, after, "the node takes no more requests now")
+		return
+	}
+	c := &call{id: q.ID, x: x, job: job, attempts: map[int]try{}, grants: map[int]chan bool{}, started: x.Arrived}
+	n.calls[c.id] = c
+	n.guard(c)
+	x.OnHangup(func(half bool) {
+		n.core.post(func(now float64) {
+			if n.calls[c.id] == c {
+				n.core.book.Hangup(now, c.id, half)
+			}
+		})
+	})
+}
+
+// turnAway answers a request that is not taken.
+func (n *Node) turnAway(job protocol.Job, a ending.Answer, after float64, reason string) {
+	w := job.Word(a, after, reason)
+	n.running.start(func() { job.Say(w) })
+}
+
+// guard has the book look at a request when it says that it must, as long as it knows it.
+func (n *Node) guard(c *call) {
+	at, ok := n.core.book.Deadline(c.id)
+	if !ok {
+		return
+	}
+	c.guard = n.core.wheel.Add(at, func(now float64) {
+		n.core.book.Overdue(now, c.id)
+		if next, ok := n.core.book.Deadline(c.id); ok && next > now {
+			n.guard(c)
+		}
+	})
+}
+
+// sortedKeys returns the keys of a map in order.
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/internal/node/serve.go
+++ b/internal/openai/front.go
@@ -1,27 +1,79 @@
-package node
+// Package openai puts the published chat protocol before the host: its front, its jobs and the writing of its answers.
+package openai
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
+	"math/rand/v2"
 	"strconv"
 	"strings"
-	"time"
+	"sync/atomic"
 
 	"dillroute/brain"
-	"dillroute/internal/decide/strain"
+	"dillroute/internal/config"
+	"dillroute/internal/decide/intake"
 	"dillroute/internal/engine"
 	"dillroute/internal/front"
 	"dillroute/internal/http1"
-
-	"encoding/json"
+	"dillroute/internal/protocol"
 )
 
-// fault is the body of an answer to a request that could not be parsed, or for which there is no place.
-func (n *Node) fault(status int, reason string) ([]http1.Field, []byte) {
-	retry, after := status == 408 || status == 503, 0.0
-	if status == 503 {
-		after = n.strain.back()
+// Front is the public listener's side. It is safe for concurrent use.
+type Front struct {
+	log     *slog.Logger
+	engines *engine.Client
+	prefix  string // of request ids: no two starts of a node make the same
+	serial  atomic.Uint64
+	view    atomic.Pointer[view]
+}
+
+// view is what connections need of the settings; it is replaced whole.
+type view struct {
+	cfg   *config.Config
+	table *intake.Table
+	body  []byte // of /v1/models
+}
+
+// NewFront returns a front that makes its attempts by the client given.
+func NewFront(cfg *config.Config, engines *engine.Client, log *slog.Logger) *Front {
+	f := &Front{log: log, engines: engines, prefix: fmt.Sprintf("%s-%08x", cfg.Node.Name, rand.Uint32())}
+	f.Configure(cfg)
+	return f
+}
+
+// Configure takes settings; requests that were taken keep theirs.
+func (f *Front) Configure(cfg *config.Config) {
+	models, rules := map[string]int{}, []intake.Rule{}
+	list := front.ModelList{}
+	for _, m := range cfg.Models {
+		models[m.Name], _ = cfg.ClassIndex(m.Class)
+		list.Add(m.Name)
+	}
+	for _, m := range cfg.Match {
+		class, _ := cfg.ClassIndex(m.Class)
+		r := intake.Rule{Model: m.Model, Header: m.Header, Class: class, AnyValue: m.Value == nil}
+		if m.Value != nil {
+			r.Value = *m.Value
+		}
+		rules = append(rules, r)
 	}
+	var classes []intake.Class
+	for _, c := range cfg.Classes {
+		classes = append(classes, intake.Class{Patience: c.Patience, PatiencePerK: c.PatiencePerK, MaxTokens: c.MaxTokens,
+			TokenAim: c.TokenAim})
+	}
+	var keys, hashes [][]string
+	for _, t := range cfg.Tenants {
+		keys, hashes = append(keys, t.Keys), append(hashes, t.KeysSHA256)
+	}
+	f.view.Store(&view{cfg, intake.NewTable(classes, models, rules, keys, hashes), list.Bytes()})
+}
+
+// Fault words the answer to a request that could not be parsed, or for which there is no place.
+func (f *Front) Fault(status int, reason string, after float64) ([]http1.Field, []byte) {
+	retry := status == 408 || status == 503
 	return append(front.RetryFields(retry, after), front.JSONType), front.ErrorJSON(status, faultCode(status), "", reason)
 }
 
@@ -56,8 +108,8 @@
 	return nil
 }
 
-// serve answers one request of the public listener.
-func (n *Node) serve(x *http1.Exchange) {
+// Serve answers one request of the public listener, or hands it on.
+func (f *Front) Serve(x *http1.Exchange, take func(protocol.Asked) bool) {
 	allowed := methods(x.Path)
 	allow := http1.Field{Name: "Allow", Value: strings.Join(append(allowed, "OPTIONS"), ", ")}
 	switch {
@@ -71,7 +123,7 @@
 		refuse(x, 405, false, "method_not_allowed", "", x.Method+" is not taken here", allow)
 		return
 	}
-	v := n.view.Load()
+	v := f.view.Load()
 	tenant, ok := v.table.Tenant(bearer(x))
 	switch {
 	case !ok:
@@ -80,7 +132,7 @@
 	case x.Path == "/v1/models":
 		x.Reply(200, []http1.Field{front.JSONType}, v.body)
 	case x.Path == "/v1/chat/completions":
-		n.chat(x, v, tenant)
+		f.chat(x, v, tenant, take)
 	default:
 		name := strings.TrimPrefix(x.Path, "/v1/models/")
 		if _, known := v.table.Class(name, x.Header.Get); !known {
@@ -114,7 +166,7 @@
 }
 
 // chat takes a chat request.
-func (n *Node) chat(x *http1.Exchange, v *view, tenant int) {
+func (f *Front) chat(x *http1.Exchange, v *view, tenant int, take func(protocol.Asked) bool) {
 	if t := x.Header.Get("Content-Type"); t != "" && !strings.HasPrefix(strings.ToLower(t), "application/json") {
 		refuse(x, 415, false, "unsupported_media_type", "", "the body must be application/json")
 		return
@@ -126,9 +178,9 @@
 	chat, err := front.ParseChat(x.Body)
 	x.Body = nil // chat holds what is needed of it
 	if err != nil {
-		var f *front.FieldError
-		errors.As(err, &f)
-		refuse(x, 400, false, "invalid_request", f.Param, err.Error())
+		var e *front.FieldError
+		errors.As(err, &e)
+		refuse(x, 400, false, "invalid_request", e.Param, err.Error())
 		return
 	}
 	class, known := v.table.Class(chat.Model, x.Header.Get)
@@ -141,79 +193,29 @@
 	}
 	stated := 0.0
 	if ms := x.Header.Get("X-Request-Timeout-Ms"); ms != "" {
-		f, err := strconv.ParseFloat(ms, 64)
-		if err != nil || !(f > 0) {
+		given, err := strconv.ParseFloat(ms, 64)
+		if err != nil || !(given > 0) {
 			refuse(x, 400, false, "invalid_request", "X-Request-Timeout-Ms", "X-Request-Timeout-Ms must be a number above 0")
 			return
 		}
-		stated = f / 1000
+		stated = given / 1000
 	}
-	c := &call{x: x, chat: chat, extra: passOn(x), started: x.Arrived,
-		id:       n.prefix + "-" + strconv.FormatUint(n.serial.Add(1), 36),
-		attempts: map[int]*engine.Attempt{}, grants: map[int]chan bool{}, states: map[int]json.RawMessage{},
-		replies: map[int]reply{}}
+	j := &job{front: f, x: x, chat: chat, extra: passOn(x), id: f.prefix + "-" + strconv.FormatUint(f.serial.Add(1), 36),
+		states: map[int]json.RawMessage{}, replies: map[int]protocol.Word{}}
 	most := v.table.MaxTokens(class, chat.MaxTokens)
 	wait := v.table.Patience(class, chat.PromptTokens, most, stated, !chat.Stream)
-	q := brain.Request{ID: c.id, Class: class, Tenant: tenant, Session: chat.Session, Prefix: chat.Prefix,
+	q := brain.Request{ID: j.id, Class: class, Tenant: tenant, Session: chat.Session, Prefix: chat.Prefix,
 		TimeLeft: wait.First, PromptLen: float64(chat.PromptTokens), PrefixLen: float64(chat.PrefixTokens),
 		MaxOut: float64(most), Retry: retried(x)}
 	if chosen := x.Header.Get("X-Request-Id"); chosen != "" {
-		n.log.Debug("taken", "request", c.id, "client_request", clip(chosen), "class", v.cfg.Classes[class].Name)
+		f.log.Debug("taken", "request", j.id, "client_request", clip(chosen), "class", v.cfg.Classes[class].Name)
 	}
-	x.Header = nil // all that is needed of it is in c and q
-	if !n.core.post(func(now float64) { n.take(now, c, q, wait.Whole) }) {
+	x.Header = nil // all that is needed of it is in j and q
+	if !take(protocol.Asked{Request: q, Whole: wait.Whole, Job: j}) {
 		refuse(x, 503, true, "node_stopping", "", "the node is stopping")
 	}
 }
 
-// take enters a request in the book, if the node keeps up. Its client's time runs from its first byte, whatever has
-// passed since; our own lag is taken off.
-func (n *Node) take(now float64, c *call, q brain.Request, whole float64) {
-	patience := q.TimeLeft
-	v := n.strain.take(now, strain.Request{Patience: patience, Spent: time.Since(c.x.Arrived).Seconds(), Held: n.server.Held()})
-	if !v.OK {
-		n.metrics.strained.WithLabelValues(v.Why).Inc()
-		n.metrics.answered("turned_away")
-		n.reply(c, 503, append(front.RetryFields(true, v.RetryAfter), front.JSONType),
-			front.ErrorJSON(503, "node_overloaded", "", "the node does not keep up now"))
-		return
-	}
-	q.TimeLeft = v.TimeLeft
-	if whole > 0 {
-		whole -= patience - v.TimeLeft
-	}
-	no, ok := n.core.book.Request(now, q, whole)
-	if !ok {
-		n.metrics.answered("turned_away")
-		n.reply(c, no.HTTP, append(front.RetryFields(no.Retry, 0), front.JSONType),
-			front.ErrorJSON(no.HTTP, no.Code, "", "the node takes no more requests now"))
-		return
-	}
-	n.calls[c.id] = c
-	n.guard(c)
-	c.x.OnHangup(func(half bool) {
-		n.core.post(func(now float64) {
-			if n.calls[c.id] == c {
-				n.core.book.Hangup(now, c.id, half)
-			}
-		})
-	})
-}
-
-// guard has the book look at a request when it says that it must, as long as it knows it.
-func (n *Node) guard(c *call) {
-	at, ok := n.core.book.Deadline(c.id)
-	if !ok {
-		return
-	}
-	c.guard = n.core.wheel.Add(at, func(now float64) {
-		n.core.book.Overdue(now, c.id)
-		if next, ok := n.core.book.Deadline(c.id); ok && next > now {
-			n.guard(c)
-		}
-	})
-}
-
 // retried tells whether the client marks a request as a repeat of its own, as published clients do.
 func retried(x *http1.Exchange) bool {
 	count, err := strconv.Atoi(x.Header.Get("X-Stainless-Retry-Count"))
--- /dev/null
+++ b/internal/relay/config.go
@@ -0,0 +1,102 @@
+// Package relay speaks the protocol of the users' platform: their clients, engines and discovery. It turns bytes into the
+// neutral facts of internal/protocol and back, and decides nothing. docs/design/relay.md weighs its ways.
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+
+	"dillroute/internal/settings"
+)
+
+// Config is what the platform tells a node at its start.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Limits                  Limits
+	Known                   []byte // the list as this node had it last, in discovery's form; empty = none
+	Settings                *settings.Settings
+}
+
+// Limits are what a node may use.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// file mirrors the configuration file.
+type file struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Limits    Limits          `json:"limits"`
+	Known     json.RawMessage `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+}
+
+// Names of the environment's variables.
+const (
+	envName      = "RELAY_NAME"
+	envListen    = "RELAY_LISTEN"
+	envDiscovery = "RELAY_DISCOVERY"
+	envConfig    = "RELAY_CONFIG"
+)
+
+// Load reads the configuration that the environment names. What its file lacks is taken from the environment.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv(envConfig)
+	if path == "" {
+		return nil, fmt.Errorf("%s is not set: it names the configuration file", envConfig)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", envConfig, err)
+	}
+	return parse(text, getenv)
+}
+
+func parse(text []byte, getenv func(string) string) (*Config, error) {
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known}
+	for _, x := range []struct {
+		to   *string
+		name string
+	}{{&c.Name, envName}, {&c.Listen, envListen}, {&c.Discovery, envDiscovery}} {
+		if *x.to == "" {
+			*x.to = getenv(x.name)
+		}
+		if *x.to == "" {
+			return nil, fmt.Errorf("configuration: neither the file nor %s says it", x.name)
+		}
+	}
+	var err error
+	if f.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("configuration: seed %q is no hexadecimal number", clip(f.Seed))
+		}
+	}
+	if l := c.Limits; !(l.Cores >= 0 && l.MemoryMB >= 0 && l.Sockets >= 0) {
+		return nil, fmt.Errorf("configuration: a limit is negative")
+	}
+	if len(f.Settings) == 0 {
+		return nil, fmt.Errorf("configuration: settings are missing")
+	}
+	if c.Settings, err = settings.Parse(f.Settings); err != nil {
+		return nil, fmt.Errorf("configuration: settings: %w", err)
+	}
+	return c, nil
+}
+
+func clip(s string) string {
+	if len(s) > 60 {
+		return s[:60] + "…"
+	}
+	return s
+}
--- /dev/null
+++ b/internal/relay/discovery.go
@@ -0,0 +1,288 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"dillroute/brain"
+	"dillroute/internal/decide/believe"
+	"dillroute/internal/http1"
+	"dillroute/internal/protocol"
+	"dillroute/internal/settings"
+)
+
+// answer is discovery's form of a list.
+type answer struct {
+	Version int64   `json:"version"`
+	Full    bool    `json:"full"`
+	Servers []entry `json:"servers"`
+}
+
+type entry struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started float64 `json:"started_ms"`
+}
+
+// Times of the watch.
+const (
+	holdFor  = 20 * time.Second        // that a watch may wait
+	holdOver = 1500 * time.Millisecond // that its answer may be late by
+	listFor  = 2 * time.Second         // that the whole list may take
+	firstGap = 50 * time.Millisecond   // between tries,
+	mostGap  = time.Second             // growing up to this
+	maxList  = 4 << 20                 // bytes of an answer
+)
+
+// Discovery follows the list of engines.
+type Discovery struct {
+	log   *slog.Logger
+	kinds map[string]int
+	zones map[string]int
+	roles []brain.Kind
+	take  func(protocol.List)
+	wg    sync.WaitGroup
+
+	mu     sync.Mutex
+	told   *believe.Told
+	addrs  map[string]string
+	watch  *watch
+	closed bool
+}
+
+// watch is one address that is followed.
+type watch struct {
+	addr string
+	stop chan struct{}
+	mu   sync.Mutex
+	conn *http1.ClientConn
+	quit bool
+}
+
+// Follow starts following discovery at an address, from what was known before (may be empty).
+func Follow(addr string, known []byte, s *settings.Settings, take func(protocol.List), log *slog.Logger) *Discovery {
+	d := &Discovery{log: log, kinds: index(s.Kinds), zones: index(s.Zones), roles: s.Brain.Kinds, take: take,
+		told: believe.NewTold(), addrs: map[string]string{}}
+	var a answer
+	if len(known) > 0 {
+		if err := json.Unmarshal(known, &a); err != nil {
+			log.Warn("the list known before is not used", "error", err.Error())
+		} else {
+			d.hear(&a, true)
+		}
+	}
+	d.Move(addr)
+	return d
+}
+
+// Keep is of no use here: no disk survives the node.
+func (d *Discovery) Keep(bool) {}
+
+// Move follows another address from now on. The one before is given up once the new one has answered.
+func (d *Discovery) Move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed || d.watch != nil && d.watch.addr == addr {
+		return
+	}
+	before := d.watch
+	w := &watch{addr: addr, stop: make(chan struct{})}
+	d.watch = w
+	d.wg.Add(1)
+	go func() { defer d.wg.Done(); d.follow(w, before) }()
+}
+
+// Close ends the following.
+func (d *Discovery) Close() {
+	d.mu.Lock()
+	d.closed = true
+	w := d.watch
+	d.mu.Unlock()
+	w.end()
+	d.wg.Wait()
+}
+
+// end stops a watch, whatever it waits for.
+func (w *watch) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.quit {
+		w.quit = true
+		close(w.stop)
+		if w.conn != nil {
+			w.conn.Close()
+		}
+	}
+}
+
+// hold notes the connection that end closes; false = the watch has ended.
+func (w *watch) hold(c *http1.ClientConn) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.conn = c
+	return !w.quit
+}
+
+// follow asks until it is stopped. before is the watch that this one follows upon.
+func (d *Discovery) follow(w, before *watch) {
+	defer func() {
+		if before != nil {
+			before.end()
+		}
+	}()
+	pool := &http1.Pool{MaxIdle: 1, Limits: http1.Limits{Line: 1 << 10, Header: 8 << 10, Headers: 64, Body: maxList}}
+	defer pool.Close()
+	gap := firstGap
+	for {
+		err := d.session(w, pool, func() {
+			if before != nil {
+				before.end()
+				before = nil
+			}
+			gap = firstGap
+		})
+		select {
+		case <-w.stop:
+			return
+		default:
+		}
+		d.log.Info("discovery", "address", w.addr, "error", err.Error())
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(time.Duration((0.5 + rand.Float64()/2) * float64(gap))):
+		}
+		gap = min(2*gap, mostGap)
+	}
+}
+
+// session asks for the whole list and then for changes, on one connection, until that fails. heard is told of each answer.
+func (d *Discovery) session(w *watch, pool *http1.Pool, heard func()) error {
+	c, err := pool.Get(w.addr, listFor)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if !w.hold(c) {
+		return fmt.Errorf("stopped")
+	}
+	version := int64(0)
+	for {
+		target, wait := pathList, listFor
+		if version > 0 {
+			target = pathList + "?from=" + strconv.FormatInt(version, 10) + "&hold_ms=" + strconv.FormatInt(holdFor.Milliseconds(), 10)
+			wait = holdFor + holdOver
+		}
+		c.SetDeadline(time.Now().Add(wait))
+		a, err := ask(c, target)
+		if err != nil {
+			return err
+		}
+		version = d.hear(a, false)
+		heard()
+	}
+}
+
+// ask makes one call.
+func ask(c *http1.ClientConn, target string) (*answer, error) {
+	if _, _, err := c.Send("GET", target, nil, nil); err != nil {
+		return nil, err
+	}
+	resp, err := c.ReadResponse()
+	if err != nil {
+		return nil, err
+	}
+	body, err := resp.ReadAll(maxList)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Status != 200 {
+		return nil, fmt.Errorf("relay: discovery answered %d", resp.Status)
+	}
+	return readList(body)
+}
+
+// readList reads an answer; an entry that cannot be spoils it.
+func readList(body []byte) (*answer, error) {
+	var a answer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return nil, fmt.Errorf("relay: list: %w", err)
+	}
+	if a.Version < 0 {
+		return nil, fmt.Errorf("relay: list: version %d", a.Version)
+	}
+	for i, e := range a.Servers {
+		if e.ID == "" || e.State != "up" && e.State != "draining" && e.State != "removed" {
+			return nil, fmt.Errorf("relay: list: servers[%d] has no id, or the state %q", i, clip(e.State))
+		}
+	}
+	return &a, nil
+}
+
+// hear files an answer and hands on what it changes. It returns the version to go on from; 0 = the whole list.
+func (d *Discovery) hear(a *answer, known bool) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var words []believe.Word
+	for _, e := range a.Servers {
+		kind, ok := d.kinds[e.Kind]
+		if !ok && e.State != "removed" {
+			d.log.Warn("engine of an unknown kind", "engine", e.ID, "kind", clip(e.Kind))
+			continue
+		}
+		w := believe.Word{Gone: e.State == "removed", Entry: believe.Entry{ID: e.ID, Address: e.Addr, Kind: kind, Cell: e.Cell,
+			Zone: d.zones[e.Zone], Weight: e.Weight, Boot: e.Started / 1000}}
+		if ok {
+			w.Role = int(d.roles[kind].Role)
+		}
+		if e.State == "draining" {
+			w.State = believe.Draining
+		}
+		words = append(words, w)
+	}
+	now := float64(time.Now().UnixNano()) / 1e9
+	changes := d.told.Hear(now, a.Version, a.Full, words)
+	if len(changes) > 0 {
+		d.take(list(changes, known))
+	}
+	if known {
+		return 0
+	}
+	return d.told.Version()
+}
+
+// list turns changes into what the host takes.
+func list(changes []believe.Word, known bool) protocol.List {
+	l := protocol.List{Form: brain.ListChanges, Addresses: map[string]string{}, Saved: known}
+	for _, w := range changes {
+		e := brain.Engine{ID: w.ID, Kind: w.Kind, Cell: w.Cell, Zone: w.Zone, Weight: w.Weight, BootTime: w.Boot}
+		switch {
+		case w.Gone:
+			e.State = brain.Removed
+		case w.State == believe.Draining:
+			e.State = brain.Draining
+		}
+		l.Engines = append(l.Engines, e)
+		if w.Address != "" {
+			l.Addresses[w.ID] = w.Address
+		}
+	}
+	slices.SortFunc(l.Engines, func(a, b brain.Engine) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return l
+}
--- /dev/null
+++ b/internal/relay/engines.go
@@ -0,0 +1,127 @@
+package relay
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"dillroute/brain"
+	"dillroute/internal/http1"
+	"dillroute/internal/settings"
+)
+
+// Engines is the engines' side. It is safe for concurrent use.
+type Engines struct {
+	pool    *http1.Pool
+	connect time.Duration // most time for a connection
+}
+
+// NewEngines returns a client of engines that holds at most so many connections.
+func NewEngines(s *settings.Settings, most int) *Engines {
+	e := &Engines{connect: 250 * time.Millisecond,
+		pool: &http1.Pool{MaxIdle: 16, MaxOpen: most, Idle: 10 * time.Second, Limits: answerLimits, Chunk: maxChunk}}
+	if s.Connect > 0 {
+		e.connect = seconds(s.Connect)
+	}
+	if s.Idle > 0 { // the engine closes it then at the latest, and a request that crosses that is lost
+		e.pool.Idle = min(e.pool.Idle, seconds(s.Idle)/2)
+	}
+	e.pool.Head = 2 * e.connect
+	return e
+}
+
+// Bounds of answers, in bytes.
+const maxChunk = 256 << 10
+
+var answerLimits = http1.Limits{Line: 1 << 10, Header: 8 << 10, Headers: 64, Body: maxReply}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Sweep closes connections that have rested for too long, CloseIdle all that rest, Close for good.
+func (e *Engines) Sweep()     { e.pool.Sweep() }
+func (e *Engines) CloseIdle() { e.pool.CloseIdle() }
+func (e *Engines) Close()     { e.pool.Close() }
+
+// Release lets go of all that any engine holds for a request; whichever is asked sees to it.
+func (e *Engines) Release(address, id string, _ int, within time.Duration) error {
+	c, err := e.pool.Get(address, min(e.connect, within))
+	if err != nil {
+		return err
+	}
+	c.SetDeadline(time.Now().Add(within))
+	if _, _, err = c.Send("DELETE", pathHolds+id, nil, nil); err == nil {
+		var resp *http1.Response
+		if resp, err = c.ReadResponse(); err == nil {
+			if _, err = resp.ReadAll(maxReply); err == nil {
+				e.pool.Done(c, resp)
+				if resp.Status/100 != 2 {
+					return fmt.Errorf("relay: release answered %d", resp.Status)
+				}
+				return nil
+			}
+		}
+	}
+	c.Close()
+	return err
+}
+
+// parseLoad reads a load report; nil where there is none that can be read.
+func parseLoad(text string) *brain.Report {
+	if text == "" || len(text) > 512 {
+		return nil
+	}
+	rep := &brain.Report{}
+	for _, part := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(x >= 0 && x < 1e9) {
+			return nil
+		}
+		settings.File(rep, name, x)
+	}
+	if rep.Has == 0 {
+		return nil
+	}
+	return rep
+}
+
+// readCached reads how much of a prompt a reader had kept, in tokens; 0 where it does not say.
+func readCached(body []byte) int {
+	var b struct {
+		Cached float64 `json:"cached_tokens"`
+	}
+	if json.Unmarshal(body, &b) != nil || !(b.Cached >= 0 && b.Cached <= maxTokens) {
+		return 0
+	}
+	return int(b.Cached)
+}
+
+// usageMember is how the event begins that tells what an answer took.
+var usageMember = []byte(`"usage"`)
+
+// readUsage reads how much of a prompt was found kept, of the event that tells it.
+func readUsage(data []byte) (kept int, ok bool) {
+	if !bytes.Contains(data, usageMember) {
+		return 0, false
+	}
+	var b struct {
+		Usage *struct {
+			Details struct {
+				Cached float64 `json:"cached_tokens"`
+			} `json:"prompt_tokens_details"`
+		} `json:"usage"`
+	}
+	if json.Unmarshal(data, &b) != nil || b.Usage == nil {
+		return 0, false
+	}
+	if c := b.Usage.Details.Cached; c >= 0 && c <= maxTokens {
+		return int(c), true
+	}
+	return 0, true
+}
+
+// isEvent tells whether what came can be the first event of an answer.
+func isEvent(data []byte) bool { return len(data) > 1 && data[0] == '{' && json.Valid(data) }
--- /dev/null
+++ b/internal/relay/front.go
@@ -0,0 +1,250 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math"
+	"strconv"
+	"strings"
+
+	"dillroute/brain"
+	"dillroute/internal/http1"
+	"dillroute/internal/protocol"
+	"dillroute/internal/settings"
+)
+
+// Header fields of the protocol, in canonical form.
+const (
+	headID     = "X-Call-Id"
+	headClass  = "X-Call-Class"
+	headTenant = "X-Caller"
+	headKey    = "X-Route-Hash"
+	headBudget = "X-Budget"
+	headInfo   = "X-Call-Info"
+	headAgain  = "X-Again"
+	headLoad   = "X-Load-Report"
+	headNotRun = "X-Rejected"
+)
+
+// Paths of the protocol.
+const (
+	pathChat   = "/v1/chat/completions"
+	pathReady  = "/healthz"
+	pathHolds  = "/v1/holds/"
+	pathList   = "/v1/servers"
+	charsToken = 4 // characters of a token
+)
+
+// Bounds of what a header may say.
+const (
+	maxID     = 64
+	maxKey    = 256
+	maxBudget = 3600    // s
+	maxTokens = 1 << 20 // far beyond what a body can hold
+)
+
+// Front is the clients' side. It is safe for concurrent use.
+type Front struct {
+	log     *slog.Logger
+	engines *Engines
+	ready   func() bool
+	classes map[string]int
+	tenants map[string]int
+	limits  []float64 // by class: s that a client waits, where it does not say
+}
+
+// NewFront returns a front that makes its attempts by the engines' client given.
+func NewFront(s *settings.Settings, engines *Engines, ready func() bool, log *slog.Logger) *Front {
+	return &Front{log: log, engines: engines, ready: ready, classes: index(s.Classes), tenants: index(s.Tenants)}
+}
+
+func index(names []string) map[string]int {
+	m := map[string]int{}
+	for i, n := range names {
+		m[n] = i
+	}
+	return m
+}
+
+// Fault words the answer to a request that could not be read, or for which there is no place.
+func (f *Front) Fault(status int, reason string, after float64) ([]http1.Field, []byte) {
+	return retryFields(after), []byte(reason + "\n")
+}
+
+var textType = http1.Field{Name: "Content-Type", Value: "text/plain; charset=utf-8"}
+
+func retryFields(after float64) []http1.Field {
+	if after <= 0 {
+		return []http1.Field{textType}
+	}
+	return []http1.Field{textType, {Name: "Retry-After", Value: strconv.FormatFloat(after, 'f', 3, 64)}}
+}
+
+// Serve answers one request, or hands it on.
+func (f *Front) Serve(x *http1.Exchange, take func(protocol.Asked) bool) {
+	say := func(status int, reason string) {
+		f.log.Debug("not taken", "status", status, "reason", reason)
+		x.Reply(status, []http1.Field{textType}, []byte(reason+"\n"))
+	}
+	switch {
+	case x.Path == pathReady && (x.Method == "GET" || x.Method == "HEAD"):
+		if !f.ready() {
+			say(503, "not ready")
+			return
+		}
+		say(200, "ready")
+		return
+	case x.Path != pathChat:
+		say(404, "there is no such path")
+		return
+	case x.Method != "POST":
+		say(405, "only POST is taken here")
+		return
+	}
+	q, err := f.request(x.Request)
+	if err != nil {
+		say(400, err.Error())
+		return
+	}
+	j := &job{front: f, id: q.ID, x: x, method: x.Method, target: x.Target(), body: x.Body,
+		kind: x.Header.Get("Content-Type")}
+	x.Body, x.Header = nil, nil // j and q hold what is needed
+	if !take(protocol.Asked{Request: q, Job: j}) {
+		say(503, "the node is stopping")
+	}
+}
+
+// request reads what the module is told of a request. The error says what is wrong with it.
+func (f *Front) request(r *http1.Request) (q brain.Request, err error) {
+	get := func(name string, must bool) string {
+		values := r.Header[name]
+		switch {
+		case err != nil:
+		case len(values) > 1:
+			err = fmt.Errorf("%s is given twice", name)
+		case len(values) == 0 || values[0] == "":
+			if must {
+				err = fmt.Errorf("%s is missing", name)
+			}
+		default:
+			return values[0]
+		}
+		return ""
+	}
+	q.ID = get(headID, true)
+	class, tenant := get(headClass, true), get(headTenant, true)
+	q.Session = get(headKey, false)
+	budget, info, again := get(headBudget, true), get(headInfo, false), get(headAgain, false)
+	if err != nil {
+		return q, err
+	}
+	var ok bool
+	if q.Class, ok = f.classes[class]; !ok {
+		return q, fmt.Errorf("there is no class %q", clip(class))
+	}
+	if q.Tenant, ok = f.tenants[tenant]; !ok {
+		return q, fmt.Errorf("there is no tenant %q", clip(tenant))
+	}
+	if !isID(q.ID) {
+		return q, fmt.Errorf("%s is malformed", headID)
+	}
+	if len(q.Session) > maxKey {
+		return q, fmt.Errorf("%s is too long", headKey)
+	}
+	if q.TimeLeft, err = strconv.ParseFloat(budget, 64); err != nil || !(q.TimeLeft > 0 && q.TimeLeft <= maxBudget) {
+		return q, fmt.Errorf("%s %q is not a time", headBudget, clip(budget))
+	}
+	switch again {
+	case "":
+	case "1":
+		q.Retry = true
+	case "again":
+		q.Returned = true
+	default:
+		return q, fmt.Errorf("%s %q is not known", headAgain, clip(again))
+	}
+	if err = readInfo(info, &q); err != nil {
+		return q, err
+	}
+	return q, readBody(r.Body, &q)
+}
+
+// isID tells whether an id can stand in a path as it is.
+func isID(s string) bool {
+	if len(s) > maxID {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_' || c == '.') {
+			return false
+		}
+	}
+	return s != "." && s != ".."
+}
+
+// readInfo reads the fields of X-Call-Info; those that are not known are passed over.
+func readInfo(info string, q *brain.Request) error {
+	if info == "" {
+		return nil
+	}
+	for _, part := range strings.Split(info, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok {
+			return fmt.Errorf("%s: %q is not name=value", headInfo, clip(part))
+		}
+		var to *float64
+		switch name {
+		case "prefix":
+			if len(value) > maxKey {
+				return fmt.Errorf("%s: prefix is too long", headInfo)
+			}
+			q.Prefix = value
+			continue
+		case "prompt_len":
+			to = &q.PromptLen
+		case "prefix_len":
+			to = &q.PrefixLen
+		case "max_out":
+			to = &q.MaxOut
+		default:
+			continue
+		}
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(n >= 0 && n <= maxTokens) || n != math.Trunc(n) {
+			return fmt.Errorf("%s: %s=%q is not a number of tokens", headInfo, name, clip(value))
+		}
+		*to = n
+	}
+	if q.PromptLen > 0 && q.PrefixLen > q.PromptLen {
+		return fmt.Errorf("%s: the prefix is longer than the prompt", headInfo)
+	}
+	return nil
+}
+
+// readBody looks at a body and takes from it what the header does not say.
+func readBody(body []byte, q *brain.Request) error {
+	if len(body) == 0 || !json.Valid(body) {
+		return fmt.Errorf("the body is no JSON")
+	}
+	if strings.TrimLeft(string(body[:1]), " \t\r\n") != "{" && body[0] == '[' {
+		return fmt.Errorf("the body is no object")
+	}
+	if q.PromptLen == 0 {
+		q.PromptLen = math.Ceil(float64(len(body)) / charsToken)
+	}
+	if q.MaxOut == 0 {
+		var b struct {
+			Max float64 `json:"max_tokens"`
+		}
+		if json.Unmarshal(body, &b) != nil {
+			return fmt.Errorf("max_tokens is no number")
+		}
+		if !(b.Max >= 0 && b.Max <= maxTokens) {
+			return fmt.Errorf("max_tokens is out of range")
+		}
+		q.MaxOut = b.Max
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/job.go
@@ -0,0 +1,334 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"dillroute/internal/decide/ending"
+	"dillroute/internal/http1"
+	"dillroute/internal/protocol"
+)
+
+// job is one request: what engines get of it, unchanged, and the exchange that its answer goes to. The owner has it, but
+// for x, which belongs to the attempt that was granted the answer, and before that to the owner.
+type job struct {
+	front          *Front
+	id             string
+	x              *http1.Exchange
+	method, target string
+	kind           string // of the body
+	body           []byte
+}
+
+// Attempt prepares an attempt.
+func (j *job) Attempt(c protocol.Call) protocol.Attempt {
+	return &attempt{engines: j.front.engines, call: c, id: j.id, method: j.method, target: j.target, kind: j.kind, body: j.body,
+		x: j.x}
+}
+
+// Ended, Granted and Judged: nothing of an engine's is kept, and no engine judges requests in this protocol.
+func (j *job) Ended(int, protocol.Result) {}
+
+// Granted drops the body: a long stream need not hold it.
+func (j *job) Granted() { j.body = nil }
+
+// Judged is not met in this protocol.
+func (j *job) Judged(int) protocol.Word { return protocol.Word{Status: 500, Fields: retryFields(0)} }
+
+// Word words the node's own answer: 429 and 503 say that a retry is harmless, whoever worded them.
+func (j *job) Word(a ending.Answer, after float64, reason string) protocol.Word {
+	status := a.HTTP
+	refusal := status == 429 || status == 503
+	switch {
+	case a.Retry && !refusal:
+		status = 503
+	case !a.Retry && refusal:
+		status = 500
+	}
+	if !a.Retry {
+		after = 0
+	}
+	return protocol.Word{Status: status, Fields: retryFields(after), Body: []byte(reason + "\n")}
+}
+
+// Say writes a last word. A stream that has begun ends with its connection, without the last chunk.
+func (j *job) Say(w protocol.Word) {
+	if j.x.Begun() {
+		j.x.Cut()
+		return
+	}
+	j.x.Reply(w.Status, w.Fields, w.Body) // an error: the client is gone
+}
+
+// attempt is one attempt at an engine.
+type attempt struct {
+	engines            *Engines
+	call               protocol.Call
+	id, method, target string
+	kind               string
+	body               []byte
+	x                  *http1.Exchange
+	load               string // the latest load report of a stream
+
+	mu      sync.Mutex
+	conn    *http1.ClientConn
+	aborted bool
+	written bool // the request is being written, or was
+	cause   ending.Cause
+}
+
+// Abort ends the attempt by closing its connection.
+func (a *attempt) Abort(cause ending.Cause) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.aborted {
+		a.aborted, a.cause = true, cause
+		if a.conn != nil {
+			a.conn.Close()
+		}
+	}
+}
+
+// Withdraw ends the attempt if no byte of it has been written.
+func (a *attempt) Withdraw() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.written && !a.aborted {
+		a.aborted, a.cause = true, ending.Overtaken
+	}
+}
+
+// attach gives the connection to Abort, and says that the request is about to be written; false = too late.
+func (a *attempt) attach(c *http1.ClientConn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn, a.written = c, !a.aborted
+	return !a.aborted
+}
+
+// detach takes the connection back, so that a late Abort cannot close one that others use.
+func (a *attempt) detach() {
+	a.mu.Lock()
+	a.conn = nil
+	a.mu.Unlock()
+}
+
+func (a *attempt) stopped() (ending.Cause, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.cause, a.aborted
+}
+
+// failed names the cause of an error: the abort that made it, the time, or the peer.
+func (a *attempt) failed(err error, timeout ending.Cause) ending.Cause {
+	if cause, ok := a.stopped(); ok {
+		return cause
+	}
+	var t net.Error
+	var malformed *http1.Error
+	switch {
+	case errors.As(err, &t) && t.Timeout():
+		return timeout
+	case errors.As(err, &malformed), errors.Is(err, http1.ErrEventTooLong), errors.Is(err, errNoEvent):
+		return ending.Unreadable
+	}
+	return ending.Broken
+}
+
+// Run makes the attempt.
+func (a *attempt) Run(h protocol.Host) protocol.Result {
+	r := protocol.Result{}
+	c, resp := a.open(&r)
+	if c == nil {
+		return r
+	}
+	if resp.Status == 200 {
+		a.stream(c, resp, h, &r)
+	} else {
+		a.whole(c, resp, &r)
+	}
+	return r
+}
+
+// open connects, writes the request and reads the head of the answer. r holds how far it came.
+func (a *attempt) open(r *protocol.Result) (*http1.ClientConn, *http1.Response) {
+	until := time.Now().Add(a.call.Timeout)
+	r.Facts.Progress = ending.Dialling
+	c, err := a.engines.pool.Get(a.call.Address, min(a.engines.connect, a.call.Timeout))
+	if err != nil {
+		r.Err, r.Facts.Cause = err, a.failed(err, ending.Broken)
+		if errors.Is(err, http1.ErrNoRoom) || http1.NoFiles(err) {
+			r.Facts.Progress = ending.Unsent
+		}
+		return nil, nil
+	}
+	r.Facts.Progress = ending.Connected
+	if !a.attach(c) {
+		c.Close()
+		r.Facts.Cause, _ = a.stopped()
+		return nil, nil
+	}
+	c.SetDeadline(until)
+	fields := []http1.Field{{Name: headID, Value: a.id},
+		{Name: headBudget, Value: strconv.FormatFloat(max(0.001, time.Until(until).Seconds()), 'f', 3, 64)}}
+	if a.kind != "" {
+		fields = append(fields, http1.Field{Name: "Content-Type", Value: a.kind})
+	}
+	sent, all, err := c.Send(a.method, a.target, fields, a.body)
+	a.body = nil // a long stream need not hold it
+	if sent == all {
+		r.Facts.Progress = ending.Written
+	}
+	var resp *http1.Response
+	if err == nil {
+		resp, err = c.ReadResponse()
+	}
+	if err != nil {
+		r.Err, r.Facts.Cause = err, a.failed(err, ending.Expired)
+		a.detach()
+		c.Close()
+		return nil, nil
+	}
+	r.Facts.Progress = ending.Headed
+	r.Report = parseLoad(resp.Header.Get(headLoad))
+	return c, resp
+}
+
+// maxReply bounds whole answers, in bytes.
+const maxReply = 64 << 10
+
+// whole reads a whole answer: a prompt that was read, a rejection or an error. A rejection stands by its head.
+func (a *attempt) whole(c *http1.ClientConn, resp *http1.Response, r *protocol.Result) {
+	rejected := resp.Header.Get(headNotRun) == "1"
+	switch {
+	case resp.Status == 202:
+		r.Facts.Meaning = ending.Read
+	case resp.Status == 410 && rejected:
+		r.Facts.Meaning = ending.NoState
+	case (resp.Status == 503 || resp.Status == 504) && rejected:
+		r.Facts.Meaning = ending.Turned
+	default:
+		r.Facts.Meaning = ending.Error
+	}
+	body, err := resp.ReadAll(maxReply)
+	a.detach()
+	if err != nil {
+		c.Close()
+		r.Err = err
+		if r.Facts.Meaning == ending.Read || r.Facts.Meaning == ending.Error {
+			r.Facts.Cause = a.failed(err, ending.Expired)
+		}
+		return
+	}
+	a.engines.pool.Done(c, resp)
+	if r.Facts.Meaning == ending.Read {
+		r.Facts.Kept = readCached(body)
+	} else if r.Facts.Meaning == ending.Error {
+		r.Err = fmt.Errorf("status %d: %s", resp.Status, clip(strings.TrimSpace(string(body))))
+	}
+}
+
+// silence is how long an engine's stream may give nothing before it counts as broken: the client's connection must end
+// within 5 s of a running engine's last event (PROTOCOL, figures).
+const silence = 4500 * time.Millisecond
+
+// errNoEvent tells of a stream that is none.
+var errNoEvent = errors.New("relay: a stream without an event")
+
+// stream passes the answer on.
+func (a *attempt) stream(c *http1.ClientConn, resp *http1.Response, h protocol.Host, r *protocol.Result) {
+	r.Facts.Cause, r.Err = a.pass(c, resp, h, r)
+	a.detach()
+	if r.Facts.Cause != ending.Answered {
+		c.Close()
+		return
+	}
+	r.Facts.Meaning = ending.Done
+	if rep := parseLoad(a.load); rep != nil {
+		r.Report = rep
+	}
+	a.engines.pool.Done(c, resp)
+}
+
+// pass passes events until the last chunk.
+func (a *attempt) pass(c *http1.ClientConn, resp *http1.Response, h protocol.Host, r *protocol.Result) (ending.Cause, error) {
+	if a.call.Stage != ending.Decode || !resp.Chunked || !strings.HasPrefix(strings.ToLower(resp.Header.Get("Content-Type")), "text/event-stream") {
+		return ending.Unreadable, errors.New("relay: status 200 without a stream")
+	}
+	events := http1.NewEventReader(resp.Body, maxEvent)
+	defer events.Close()
+	events.Comment = a.comment
+	var pending []byte
+	for begun := false; ; begun = true {
+		data, raw, err := events.Next()
+		if err != nil {
+			return a.over(err, begun, pending)
+		}
+		if !begun {
+			if !isEvent(data) {
+				return ending.Unreadable, errNoEvent
+			}
+			if !h.First() {
+				return a.failed(nil, ending.Broken), nil
+			}
+			r.Facts.Progress = ending.Streaming
+			if err := a.x.Begin(200, []http1.Field{{Name: "Content-Type", Value: "text/event-stream"}}); err != nil {
+				return ending.ClientLeft, err
+			}
+		}
+		c.SetDeadline(time.Now().Add(silence))
+		if kept, ok := readUsage(data); ok {
+			r.Facts.Kept = kept
+		}
+		if pending = append(pending, raw...); events.More() && len(pending) < maxTogether {
+			continue
+		}
+		if _, err := a.x.Write(pending); err != nil {
+			return ending.ClientLeft, err
+		}
+		pending = pending[:0]
+	}
+}
+
+// Bounds of a stream, in bytes.
+const (
+	maxEvent    = 128 << 10
+	maxTogether = 8 << 10 // of events that leave in one write
+)
+
+// over ends a stream: well, at its last chunk, or as what broke it says.
+func (a *attempt) over(err error, begun bool, pending []byte) (ending.Cause, error) {
+	if begun && len(pending) > 0 {
+		if _, werr := a.x.Write(pending); werr != nil {
+			return ending.ClientLeft, werr
+		}
+	}
+	if err != io.EOF {
+		timeout := ending.Expired
+		if begun {
+			timeout = ending.Stalled
+		}
+		return a.failed(err, timeout), err
+	}
+	if !begun {
+		return ending.Unreadable, errNoEvent
+	}
+	if err := a.x.End(); err != nil {
+		return ending.ClientLeft, err
+	}
+	return ending.Answered, nil
+}
+
+// comment keeps a load report that a stream carries.
+func (a *attempt) comment(line []byte) {
+	text := strings.TrimSpace(strings.TrimPrefix(string(line), ":"))
+	if name, value, ok := strings.Cut(text, ":"); ok && strings.EqualFold(strings.TrimSpace(name), headLoad) {
+		a.load = strings.TrimSpace(value)
+	}
+}
--- /dev/null
+++ b/internal/relay/sizes.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"time"
+
+	"dillroute/internal/http1"
+)
+
+// Slack is by how much every time limit is longer on sockets than in the settings (PROTOCOL, rules).
+const Slack = 50 * time.Millisecond
+
+// Times are those of the protocol's pages. A client that says nothing, or does not end what it says, is due an answer or
+// a close within 3 s of connecting; a connection without a request may be closed after 2 s, and sooner to make room: its
+// client asks again. A node that is told to stop goes on accepting for as long as connections keep coming (0.4 s).
+var Times = http1.Times{First: 2100 * time.Millisecond, Head: 700 * time.Millisecond, Body: 700 * time.Millisecond,
+	Whole: 700 * time.Millisecond, Idle: 10 * time.Second, Rest: 100 * time.Millisecond, Write: 4 * time.Second,
+	DrainAccept: 700 * time.Millisecond, DrainIdle: 200 * time.Millisecond, Linger: 300 * time.Millisecond,
+	Lobby: 100 * time.Millisecond}
+
+// RequestLimits bound a client's message: a body holds at most 256 KiB.
+var RequestLimits = http1.Limits{Line: 4 << 10, Header: 16 << 10, Headers: 64, Body: 256 << 10}
+
+// Sizes are the parts of a node's limits that go to each of its concerns.
+type Sizes struct {
+	Clients  int   // connections of clients
+	Lobby    int   // further ones that are being refused
+	Engines  int   // connections to engines
+	Requests int   // open at once
+	Bytes    int64 // of requests' bodies
+}
+
+// Size divides the limits. Of the descriptors two fifths are for clients and nearly half for engines; what is left is for
+// the listener, discovery, the lobby and the runtime.
+func Size(l Limits) Sizes {
+	sockets, memory := l.Sockets, l.MemoryMB
+	if sockets <= 0 {
+		sockets = 1024
+	}
+	if memory <= 0 {
+		memory = 256
+	}
+	s := Sizes{Clients: sockets * 2 / 5, Lobby: max(4, sockets/16), Engines: sockets * 9 / 20}
+	s.Requests = s.Clients
+	s.Bytes = int64(memory * (1 << 20) / 6)
+	return s
+}
+
+// EngineConns is how many connections to engines there may be.
+func EngineConns(l Limits) int { return Size(l).Engines }
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,205 @@
+// Package settings reads the settings object with which the users' platform starts a node, the same for the bench's
+// adapter and for a node in service, and turns it into the module's configuration. It decides nothing.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"dillroute/brain"
+)
+
+// Settings are the object as far as it is used. Times are in seconds.
+type Settings struct {
+	Brain    brain.Config
+	Classes  []string // names, in the order of Brain's
+	Tenants  []string
+	Zones    []string
+	Kinds    []string
+	MaxOpen  int
+	Idle     float64 // after which an idle connection is closed by an engine at the latest; 0 = not told
+	Connect  float64 // within which a connection must be made; 0 = not told
+	Patience float64 // the longest that a client of any class waits
+}
+
+// facts mirrors the object, as far as it is used.
+type facts struct {
+	Balancers int `json:"balancers"`
+	Rank      int `json:"rank"`
+	Zone      int `json:"zone"`
+	Classes   []struct {
+		Name       string  `json:"name"`
+		Effect     string  `json:"effect"`
+		Group      string  `json:"group"`
+		KeyTTL     float64 `json:"key_ttl_s"`
+		Target     float64 `json:"target_s"`
+		AimStretch float64 `json:"aim_stretch"`
+		HardLimit  float64 `json:"hard_limit_s"`
+		Worth      float64 `json:"worth"`
+		LateValue  float64 `json:"late_value"`
+	} `json:"classes"`
+	Accounts []struct {
+		Name  string  `json:"name"`
+		Quota float64 `json:"quota_per_s"`
+	} `json:"accounts"`
+	Localities   []string `json:"localities"`
+	MachineTypes []string `json:"machine_types"`
+	RegistryMode string   `json:"registry_mode"`
+	Tick         float64  `json:"tick_s"`
+	Family       struct {
+		Ahead     bool      `json:"ahead"`
+		LocalRead bool      `json:"local_read"`
+		AimPerK   []float64 `json:"aim_us_per_1000_prompt_tokens"`
+		TokenAim  []float64 `json:"token_aim_s"`
+		LetGoBy   float64   `json:"let_go_by_s"`
+		Stage     []string  `json:"stage_of_kind"`
+		Tokens    []float64 `json:"tokens_by_kind"`
+		Transfer  float64   `json:"transfer_price"`
+	} `json:"family_info"`
+	Guarantees struct {
+		AnswerSlack  float64 `json:"answer_slack_s"`
+		AskEvery     float64 `json:"ask_every_s"`
+		Cold         float64 `json:"cold_s"`
+		ColdShare    float64 `json:"cold_share"`
+		DrainGrace   float64 `json:"drain_grace_s"`
+		FallMultiple float64 `json:"fall_multiple"`
+		TipAfter     float64 `json:"tip_after_s"`
+	} `json:"guarantees"`
+	Limits struct {
+		Cancel        bool    `json:"cancel"`
+		Connect       float64 `json:"connect_timeout_s"`
+		KeepAlive     float64 `json:"keepalive_s"`
+		MaxOpen       int     `json:"max_open"`
+		MaxAttempts   int     `json:"max_attempts"`
+		MayProbe      bool    `json:"may_probe"`
+		ParallelTries bool    `json:"parallel_tries"`
+		RetryAfter    bool    `json:"retry_after"`
+		MaxRetryAfter float64 `json:"max_retry_after_s"`
+	} `json:"limits"`
+	Report struct {
+		How    string   `json:"how"`
+		Fields []string `json:"fields"`
+	} `json:"report"`
+	Tariffs struct {
+		Probe     float64 `json:"probe"`
+		Waste     float64 `json:"waste"`
+		CrossZone float64 `json:"cross_zone"`
+		LateFail  float64 `json:"late_fail"`
+	} `json:"tariffs"`
+}
+
+// word looks a word up.
+func word[T any](field, v string, words map[string]T) (T, error) {
+	x, ok := words[v]
+	if !ok {
+		return x, fmt.Errorf("%s: unknown word %q", field, clip(v))
+	}
+	return x, nil
+}
+
+// at returns an element, 0 where there is none.
+func at(xs []float64, i int) float64 {
+	if i < len(xs) {
+		return xs[i]
+	}
+	return 0
+}
+
+// Parse reads the object.
+func Parse(text []byte) (*Settings, error) {
+	var f facts
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	c, err := f.config()
+	if err != nil {
+		return nil, err
+	}
+	s := &Settings{Brain: c, Zones: f.Localities, Kinds: f.MachineTypes, MaxOpen: f.Limits.MaxOpen,
+		Idle: f.Limits.KeepAlive, Connect: f.Limits.Connect}
+	for _, k := range f.Classes {
+		s.Classes = append(s.Classes, k.Name)
+		s.Patience = max(s.Patience, k.HardLimit)
+	}
+	for _, a := range f.Accounts {
+		s.Tenants = append(s.Tenants, a.Name)
+	}
+	return s, nil
+}
+
+// config makes the module's part.
+func (f *facts) config() (c brain.Config, err error) {
+	c = brain.Config{Rank: f.Rank, Balancers: f.Balancers, Zone: f.Zone, Zones: len(f.Localities),
+		OnRequest: f.RegistryMode == "on_request", Ahead: f.Family.Ahead, LocalRead: f.Family.LocalRead,
+		Tick: f.Tick,
+		Limits: brain.Limits{MaxAttempts: f.Limits.MaxAttempts, Cancel: f.Limits.Cancel, Probe: f.Limits.MayProbe,
+			ParallelTries: f.Limits.ParallelTries, RetryAfter: f.Limits.RetryAfter,
+			MaxRetryAfter: f.Limits.MaxRetryAfter},
+		Rules: brain.Rules{AnswerSlack: f.Guarantees.AnswerSlack, AskEvery: f.Guarantees.AskEvery,
+			ColdShare: f.Guarantees.ColdShare, ColdFor: f.Guarantees.Cold, DrainGrace: f.Guarantees.DrainGrace,
+			FallMultiple: f.Guarantees.FallMultiple, TipAfter: f.Guarantees.TipAfter, LetGoBy: f.Family.LetGoBy},
+		Prices: brain.Prices{Probe: f.Tariffs.Probe, Waste: f.Tariffs.Waste, CrossZone: f.Tariffs.CrossZone,
+			LateFail: f.Tariffs.LateFail, Transfer: f.Family.Transfer}}
+	for i, k := range f.Classes {
+		cl := brain.Class{KeyTTL: k.KeyTTL, Aim: k.Target, AimStretch: k.AimStretch, HardLimit: k.HardLimit,
+			Worth: k.Worth, LateValue: k.LateValue,
+			AimPerK: at(f.Family.AimPerK, i) / 1e6, TokenAim: at(f.Family.TokenAim, i)}
+		cl.Effect, err = word(fmt.Sprintf("classes[%d].effect", i), k.Effect,
+			map[string]brain.Effect{"repeatable": brain.Repeatable, "by_key": brain.ByKey, "once": brain.Once})
+		if err != nil {
+			return c, err
+		}
+		cl.Group, err = word(fmt.Sprintf("classes[%d].group", i), k.Group,
+			map[string]brain.Group{"": brain.GroupAll, "all": brain.GroupAll, "zone": brain.GroupZone, "cell": brain.GroupCell})
+		if err != nil {
+			return c, err
+		}
+		c.Classes = append(c.Classes, cl)
+	}
+	for i := range f.MachineTypes {
+		k := brain.Kind{Memory: at(f.Family.Tokens, i)}
+		stage := "both"
+		if i < len(f.Family.Stage) {
+			stage = f.Family.Stage[i]
+		}
+		k.Role, err = word(fmt.Sprintf("family_info.stage_of_kind[%d]", i), stage,
+			map[string]brain.Role{"read": brain.Read, "write": brain.Write, "both": brain.Mixed})
+		if err != nil {
+			return c, err
+		}
+		c.Kinds = append(c.Kinds, k)
+	}
+	for _, a := range f.Accounts {
+		c.Tenants = append(c.Tenants, brain.Tenant{Quota: a.Quota})
+	}
+	c.Report, err = word("report.how", f.Report.How, map[string]brain.ReportStyle{"": brain.ReportOff,
+		"off": brain.ReportOff, "inline": brain.ReportInline, "on_probe": brain.ReportOnProbe})
+	return c, err
+}
+
+// File puts a figure of a load report where its name belongs, by the settings' names and by those of the users' pages;
+// a name that is not known is passed over.
+func File(rep *brain.Report, name string, x float64) {
+	switch name {
+	case "active", "inflight":
+		rep.Active, rep.Has = x, rep.Has|brain.HasActive
+	case "waiting", "queue":
+		rep.Waiting, rep.Has = x, rep.Has|brain.HasWaiting
+	case "cpu", "util":
+		rep.Util, rep.Has = x, rep.Has|brain.HasUtil
+	case "avg_ms", "latency_ms":
+		rep.LatencyMS, rep.Has = x, rep.Has|brain.HasLatency
+	case "x0":
+		rep.MemShare, rep.Has = x, rep.Has|brain.HasMemShare
+	case "x1":
+		rep.TokensWaiting, rep.Has = x*1000, rep.Has|brain.HasTokensWaiting
+	}
+}
+
+// clip shortens a word for an error.
+func clip(s string) string {
+	if len(s) > 60 {
+		return s[:60] + "..."
+	}
+	return s
+}
--- a/internal/wire/facts.go
+++ b/internal/wire/facts.go
@@ -1,144 +1,13 @@
 package wire
 
 import (
-	"encoding/json"
-	"fmt"
 	"strconv"
 	"strings"
 
 	"dillroute/brain"
+	"dillroute/internal/settings"
 )
 
-// facts mirrors the settings of the LAUNCH message, as far as they are used.
-type facts struct {
-	Balancers int `json:"balancers"`
-	Rank      int `json:"rank"`
-	Zone      int `json:"zone"`
-	Classes   []struct {
-		Effect     string  `json:"effect"`
-		Group      string  `json:"group"`
-		KeyTTL     float64 `json:"key_ttl_s"`
-		Target     float64 `json:"target_s"`
-		AimStretch float64 `json:"aim_stretch"`
-		HardLimit  float64 `json:"hard_limit_s"`
-		Worth      float64 `json:"worth"`
-		LateValue  float64 `json:"late_value"`
-	} `json:"classes"`
-	Accounts []struct {
-		Quota float64 `json:"quota_per_s"`
-	} `json:"accounts"`
-	Localities   []string `json:"localities"`
-	MachineTypes []string `json:"machine_types"`
-	RegistryMode string   `json:"registry_mode"`
-	Tick         float64  `json:"tick_s"`
-	Family       struct {
-		Ahead     bool      `json:"ahead"`
-		LocalRead bool      `json:"local_read"`
-		AimPerK   []float64 `json:"aim_us_per_1000_prompt_tokens"`
-		TokenAim  []float64 `json:"token_aim_s"`
-		LetGoBy   float64   `json:"let_go_by_s"`
-		Stage     []string  `json:"stage_of_kind"`
-		Tokens    []float64 `json:"tokens_by_kind"`
-		Transfer  float64   `json:"transfer_price"`
-	} `json:"family_info"`
-	Guarantees struct {
-		AnswerSlack  float64 `json:"answer_slack_s"`
-		AskEvery     float64 `json:"ask_every_s"`
-		Cold         float64 `json:"cold_s"`
-		ColdShare    float64 `json:"cold_share"`
-		DrainGrace   float64 `json:"drain_grace_s"`
-		FallMultiple float64 `json:"fall_multiple"`
-		TipAfter     float64 `json:"tip_after_s"`
-	} `json:"guarantees"`
-	Limits struct {
-		Cancel        bool    `json:"cancel"`
-		MaxAttempts   int     `json:"max_attempts"`
-		MayProbe      bool    `json:"may_probe"`
-		ParallelTries bool    `json:"parallel_tries"`
-		RetryAfter    bool    `json:"retry_after"`
-		MaxRetryAfter float64 `json:"max_retry_after_s"`
-	} `json:"limits"`
-	Report struct {
-		How    string   `json:"how"`
-		Fields []string `json:"fields"`
-	} `json:"report"`
-	Tariffs struct {
-		Probe     float64 `json:"probe"`
-		Waste     float64 `json:"waste"`
-		CrossZone float64 `json:"cross_zone"`
-		LateFail  float64 `json:"late_fail"`
-	} `json:"tariffs"`
-}
-
-func word[T any](field, v string, words map[string]T) (T, error) {
-	x, ok := words[v]
-	if !ok {
-		return x, fmt.Errorf("%s: unknown word %q", field, clip(v))
-	}
-	return x, nil
-}
-
-func at(xs []float64, i int) float64 {
-	if i < len(xs) {
-		return xs[i]
-	}
-	return 0
-}
-
-// parseFacts turns the settings into a Config.
-func parseFacts(text string) (c brain.Config, err error) {
-	var f facts
-	if err = json.Unmarshal([]byte(text), &f); err != nil {
-		return c, err
-	}
-	c = brain.Config{Rank: f.Rank, Balancers: f.Balancers, Zone: f.Zone, Zones: len(f.Localities),
-		OnRequest: f.RegistryMode == "on_request", Ahead: f.Family.Ahead, LocalRead: f.Family.LocalRead,
-		Tick: f.Tick,
-		Limits: brain.Limits{MaxAttempts: f.Limits.MaxAttempts, Cancel: f.Limits.Cancel, Probe: f.Limits.MayProbe,
-			ParallelTries: f.Limits.ParallelTries, RetryAfter: f.Limits.RetryAfter,
-			MaxRetryAfter: f.Limits.MaxRetryAfter},
-		Rules: brain.Rules{AnswerSlack: f.Guarantees.AnswerSlack, AskEvery: f.Guarantees.AskEvery,
-			ColdShare: f.Guarantees.ColdShare, ColdFor: f.Guarantees.Cold, DrainGrace: f.Guarantees.DrainGrace,
-			FallMultiple: f.Guarantees.FallMultiple, TipAfter: f.Guarantees.TipAfter, LetGoBy: f.Family.LetGoBy},
-		Prices: brain.Prices{Probe: f.Tariffs.Probe, Waste: f.Tariffs.Waste, CrossZone: f.Tariffs.CrossZone,
-			LateFail: f.Tariffs.LateFail, Transfer: f.Family.Transfer}}
-	for i, k := range f.Classes {
-		cl := brain.Class{KeyTTL: k.KeyTTL, Aim: k.Target, AimStretch: k.AimStretch, HardLimit: k.HardLimit,
-			Worth: k.Worth, LateValue: k.LateValue,
-			AimPerK: at(f.Family.AimPerK, i) / 1e6, TokenAim: at(f.Family.TokenAim, i)}
-		cl.Effect, err = word(fmt.Sprintf("classes[%d].effect", i), k.Effect,
-			map[string]brain.Effect{"repeatable": brain.Repeatable, "by_key": brain.ByKey, "once": brain.Once})
-		if err != nil {
-			return c, err
-		}
-		cl.Group, err = word(fmt.Sprintf("classes[%d].group", i), k.Group,
-			map[string]brain.Group{"": brain.GroupAll, "all": brain.GroupAll, "zone": brain.GroupZone, "cell": brain.GroupCell})
-		if err != nil {
-			return c, err
-		}
-		c.Classes = append(c.Classes, cl)
-	}
-	for i := range f.MachineTypes {
-		k := brain.Kind{Memory: at(f.Family.Tokens, i)}
-		stage := "both"
-		if i < len(f.Family.Stage) {
-			stage = f.Family.Stage[i]
-		}
-		k.Role, err = word(fmt.Sprintf("family_info.stage_of_kind[%d]", i), stage,
-			map[string]brain.Role{"read": brain.Read, "write": brain.Write, "both": brain.Mixed})
-		if err != nil {
-			return c, err
-		}
-		c.Kinds = append(c.Kinds, k)
-	}
-	for _, a := range f.Accounts {
-		c.Tenants = append(c.Tenants, brain.Tenant{Quota: a.Quota})
-	}
-	c.Report, err = word("report.how", f.Report.How, map[string]brain.ReportStyle{"": brain.ReportOff,
-		"off": brain.ReportOff, "inline": brain.ReportInline, "on_probe": brain.ReportOnProbe})
-	return c, err
-}
-
 // report reads the load report of a line; keys that are not known are passed over.
 func (r *record) report() *brain.Report {
 	s := r.kv["report"]
@@ -153,20 +22,7 @@
 			r.fail("report", "%q is not name:number", clip(part))
 			return nil
 		}
-		switch k {
-		case "active":
-			rep.Active, rep.Has = x, rep.Has|brain.HasActive
-		case "waiting":
-			rep.Waiting, rep.Has = x, rep.Has|brain.HasWaiting
-		case "cpu":
-			rep.Util, rep.Has = x, rep.Has|brain.HasUtil
-		case "avg_ms":
-			rep.LatencyMS, rep.Has = x, rep.Has|brain.HasLatency
-		case "x0":
-			rep.MemShare, rep.Has = x, rep.Has|brain.HasMemShare
-		case "x1":
-			rep.TokensWaiting, rep.Has = x*1000, rep.Has|brain.HasTokensWaiting
-		}
+		settings.File(rep, k, x)
 	}
 	return rep
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"dillroute/brain"
+	"dillroute/internal/settings"
 )
 
 // Item is one line of a batch. Exactly one of Launch, Kill and Event is set.
@@ -252,12 +253,13 @@
 		if perr != nil {
 			r.fail("random_seed", "%q is not a whole number", clip(r.kv["random_seed"]))
 		}
-		c, cerr := parseFacts(r.text("facts"))
-		if cerr != nil {
-			r.fail("facts", "%v", cerr)
+		s, serr := settings.Parse([]byte(r.text("facts")))
+		if serr != nil {
+			r.fail("facts", "%v", serr)
+			s = &settings.Settings{}
 		}
-		d.cfg[node] = &c
-		it.Launch = &Launch{Config: c, Seed: seed}
+		d.cfg[node] = &s.Brain
+		it.Launch = &Launch{Config: s.Brain, Seed: seed}
 	case "KILL":
 		it.Kill = true
 	case "WAKEUP":
