Discovery is watched from version 0 too; before, the whole list was asked for without end

A CPU profile of the running node laid 85% of it into relay.(*Discovery).session: the list begins at version 0, which session took for 'the whole list is wanted'. Changed: believe.Told says apart whether a whole list was heard; an answer without news that was not held is followed by a pause under the watch's 200 ms.

--- a/internal/decide/believe/told.go
+++ b/internal/decide/believe/told.go
@@ -17,6 +17,7 @@
 // concurrent use.
 type Told struct {
 	version int64
+	whole   bool // a whole list was heard, so that changes from version on are enough
 	known   map[string]told
 }
 
@@ -31,13 +32,13 @@
 // NewTold returns an empty list.
 func NewTold() *Told { return &Told{known: map[string]told{}} }
 
-// Version is the version to go on from; 0 = the whole list is wanted.
-func (t *Told) Version() int64 { return t.version }
+// Version is the version to go on from; ok is false where the whole list is wanted. Versions may begin at 0.
+func (t *Told) Version() (version int64, ok bool) { return t.version, t.whole }
 
 // Hear takes an answer and returns what it changes, in order of id.
 func (t *Told) Hear(now float64, version int64, full bool, words []Word) []Word {
 	changes := map[string]Word{}
-	old := version < t.version
+	old := t.whole && version < t.version
 	for _, w := range words {
 		k, known := t.known[w.ID]
 		if old && known && takesAway(k.Word) && !takesAway(w) && w.Boot <= k.Boot {
@@ -65,12 +66,12 @@
 	}
 	t.forget(now)
 	switch {
-	case !old:
+	case full: // an older one too: the source began anew
+		t.version, t.whole = version, true
+	case old: // changes from the past: what lies between is not known
+		t.whole = false
+	default:
 		t.version = version
-	case full: // the source began anew
-		t.version = version
-	default: // changes from the past: what lies between is not known
-		t.version = 0
 	}
 	return ordered(changes)
 }
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -43,6 +43,8 @@
 	firstGap = 50 * time.Millisecond   // between tries,
 	mostGap  = time.Second             // growing up to this
 	maxList  = 4 << 20                 // bytes of an answer
+	soon     = 50 * time.Millisecond   // an answer without news that came sooner was not held;
+	pause    = 100 * time.Millisecond  // the next call waits so long, which still counts as the same watch
 )
 
 // Discovery follows the list of engines.
@@ -177,20 +179,28 @@
 	if !w.hold(c) {
 		return fmt.Errorf("stopped")
 	}
-	version := int64(0)
+	version, going := int64(0), false
 	for {
 		target, wait := pathList, listFor
-		if version > 0 {
+		if going {
 			target = pathList + "?from=" + strconv.FormatInt(version, 10) + "&hold_ms=" + strconv.FormatInt(holdFor.Milliseconds(), 10)
 			wait = holdFor + holdOver
 		}
-		c.SetDeadline(time.Now().Add(wait))
+		asked := time.Now()
+		c.SetDeadline(asked.Add(wait))
 		a, err := ask(c, target)
 		if err != nil {
 			return err
 		}
-		version = d.hear(a, false)
+		changed := false
+		version, going, changed = d.hear(a, false)
 		heard()
+		if !changed && going && time.Since(asked) < soon {
+			select { // a source that does not hold its answers is not asked without end
+			case <-w.stop:
+			case <-time.After(pause):
+			}
+		}
 	}
 }
 
@@ -230,8 +240,9 @@
 	return &a, nil
 }
 
-// hear files an answer and hands on what it changes. It returns the version to go on from; 0 = the whole list.
-func (d *Discovery) hear(a *answer, known bool) int64 {
+// hear files an answer and hands on what it changes. It returns the version to go on from, if the whole list is not wanted,
+// and whether there was news.
+func (d *Discovery) hear(a *answer, known bool) (version int64, ok, changed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var words []believe.Word
@@ -256,10 +267,8 @@
 	if len(changes) > 0 {
 		d.take(list(changes, known))
 	}
-	if known {
-		return 0
-	}
-	return d.told.Version()
+	version, ok = d.told.Version()
+	return version, ok, len(changes) > 0
 }
 
 // list turns changes into what the host takes.
