A stopping node ends its streams one by one, so that clients get the rest from another node

A trace of each request by session (debug logs, now with every request and every attempt's end) showed 56 streams cut at once at three moments: SIGKILL 3.8 s after SIGTERM, while the other node had been told to stop too; clients that ask for the rest at once found nobody. Changed: decide/handover spreads the ends of running streams over the later half of the time that is left, where the settings say that clients resume.

--- a/internal/cli/relay.go
+++ b/internal/cli/relay.go
@@ -39,7 +39,7 @@
 	failure := waitRelay(n, signals, log)
 	stopped := make(chan struct{})
 	go func() {
-		n.Shutdown(node.LongestStop)
+		n.ShutdownBy(relay.StopBy(cfg.Settings.Patience), node.LongestStop)
 		close(stopped)
 	}()
 	for {
--- /dev/null
+++ b/internal/decide/handover/handover.go
@@ -0,0 +1,44 @@
+// Package handover decides when a node that stops ends the streams that it still passes on, where clients come again for
+// the rest of a stream. A node that is killed cuts all of them at one moment, perhaps one at which the other nodes are
+// restarting too: whoever finds nobody then has lost its answer. Ended one by one over the time that is left, most find
+// somebody. It does no I/O and reads no clock; times are in seconds.
+package handover
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Stream is an answer that runs.
+type Stream struct {
+	ID    string
+	Since float64 // when it began
+}
+
+// Move is a stream and when it is ended.
+type Move struct {
+	ID string
+	At float64
+}
+
+// Shares of the time that is left in which streams are ended. In a rolling restart the node before us may not be back yet
+// at first, and the one after us may be told to stop towards the end; and what can end by itself should.
+const (
+	from = 0.45
+	to   = 0.9
+)
+
+// Plan says when each stream is ended that has not ended by itself. The youngest go first, for they have most before them.
+func Plan(now, by float64, streams []Stream) []Move {
+	left := max(0, by-now)
+	xs := slices.Clone(streams)
+	slices.SortFunc(xs, func(a, b Stream) int {
+		return cmp.Or(cmp.Compare(b.Since, a.Since), cmp.Compare(a.ID, b.ID))
+	})
+	moves := make([]Move, 0, len(xs))
+	for i, s := range xs {
+		at := from + (to-from)*(float64(i)+0.5)/float64(len(xs))
+		moves = append(moves, Move{s.ID, now + left*at})
+	}
+	return moves
+}
--- /dev/null
+++ b/internal/decide/handover/handover_test.go
@@ -0,0 +1,51 @@
+package handover
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Every stream is ended once, within the time, evenly spread, the youngest first, whatever order they are given in.
+func TestStreamsAreSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 200).Draw(t, "n")
+		now := rapid.Float64Range(0, 1e9).Draw(t, "now")
+		left := rapid.Float64Range(0.5, 60).Draw(t, "left")
+		since := map[string]float64{}
+		var streams []Stream
+		for i := range n {
+			s := Stream{fmt.Sprint("s", i), now - float64(rapid.IntRange(0, 100).Draw(t, "age"))}
+			since[s.ID], streams = s.Since, append(streams, s)
+		}
+		moves := Plan(now, now+left, streams)
+		if len(moves) != n {
+			t.Fatalf("%d moves of %d streams", len(moves), n)
+		}
+		for i, m := range moves {
+			if m.At < now || m.At > now+left {
+				t.Fatalf("move at %g, outside %g to %g", m.At, now, now+left)
+			}
+			if i == 0 {
+				continue
+			}
+			if since[m.ID] > since[moves[i-1].ID] {
+				t.Fatal("an older stream goes first")
+			}
+			if gap := m.At - moves[i-1].At; gap < 0 || gap > left/float64(n) {
+				t.Fatalf("gap of %g among %d streams", gap, n)
+			}
+			delete(since, moves[i-1].ID)
+		}
+	})
+}
+
+// A node whose time is up ends all at once.
+func TestNoTimeLeft(t *testing.T) {
+	for _, m := range Plan(10, 9, []Stream{{"a", 1}, {"b", 2}}) {
+		if m.At != 10 {
+			t.Fatalf("%+v", m)
+		}
+	}
+}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -679,10 +679,35 @@
 
 // EndAll answers every request that is still open, as refused where that is true and else as failed. Streams
 // that run are ended with an error.
-func (l *Ledger) EndAll(now float64) {
+func (l *Ledger) EndAll(now float64) { l.end(true) }
+
+// Streaming returns the requests whose answers run, in order of their ids, with the times at which they were sent.
+func (l *Ledger) Streaming() (ids []string, sent []float64) {
+	for _, id := range sortedKeys(l.open) {
+		e := l.open[id]
+		for i := range e.attempts {
+			if t := &e.attempts[i]; t.streaming && !t.over && !e.concluded {
+				ids, sent = append(ids, id), append(sent, t.sentAt)
+			}
+		}
+	}
+	return ids, sent
+}
+
+// Move ends a stream whose client comes again for the rest. It does nothing to what does not stream.
+func (l *Ledger) Move(id string) {
+	if e := l.open[id]; e != nil && e.answering && !e.concluded {
+		l.giveUp(id, e, ending.Answer{HTTP: 503, Code: "node_stopping", Retry: true}, "the node is stopping")
+	}
+}
+
+// EndHeld answers every request whose answer has not begun.
+func (l *Ledger) EndHeld(now float64) { l.end(false) }
+
+func (l *Ledger) end(streams bool) {
 	for _, id := range sortedKeys(l.open) {
 		e := l.open[id]
-		if e.concluded {
+		if e.concluded || e.answering && !streams {
 			continue
 		}
 		a := ending.Answer{HTTP: 503, Code: "node_stopping", Retry: true}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -132,7 +132,7 @@
 // Begun tells whether a byte of the answer may have left.
 func (x *Exchange) Begun() bool { return x.state.Load() != fresh }
 
-func (x *Exchange) closes() bool { return x.Request.close || x.c.srv.draining.Load() }
+func (x *Exchange) closes() bool { return x.Request.close || x.c.srv.closing() }
 
 func (x *Exchange) write(b []byte) error {
 	x.c.nc.SetWriteDeadline(time.Now().Add(x.c.srv.Times.Write))
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -21,8 +21,10 @@
 	Idle  time.Duration // between requests
 	Rest  time.Duration // after which a connection without a request may be closed to make room; 0 = restedFor
 	Write time.Duration // for one write to be taken: a slower reader counts as gone
-	// A draining server goes on accepting, and reading idle connections, for so long; 0 = drainAccept, drainIdle.
+	// A draining server goes on accepting, and reading idle connections, for so long; 0 = drainAccept, drainIdle. With
+	// DrainKeep connections stay in use until then; without, each ends with its next answer.
 	DrainAccept, DrainIdle time.Duration
+	DrainKeep              bool
 	Lobby                  time.Duration // for the first byte of a connection that is to be refused; 0 = lobbyWait
 	Linger                 time.Duration // that a closing connection is read on, so that its answer is not lost; 0 = lingerFor
 }
@@ -37,6 +39,9 @@
 
 // Takes is after which no request can come that was under way when the drain began.
 func (t Times) Takes() time.Duration {
+	if t.DrainKeep {
+		return max(t.DrainAccept, t.DrainIdle)
+	}
 	return orElse(t.DrainAccept, drainAccept) + orElse(t.DrainIdle, drainIdle)
 }
 
@@ -75,6 +80,7 @@
 	room     sync.Cond // of the lobby; its lock is mu
 	listener net.Listener
 	draining atomic.Bool
+	idleBy   atomic.Int64 // Unix nanoseconds until when a draining server reads idle connections
 	held     atomic.Int64
 	wg       sync.WaitGroup
 }
@@ -248,6 +254,8 @@
 // connected or was being sent already is read: a connection that waits to be accepted, or a request on its way,
 // would else be met by a reset.
 func (s *Server) Drain() {
+	now := time.Now()
+	s.idleBy.Store(now.Add(orElse(s.Times.DrainIdle, drainIdle)).UnixNano())
 	s.draining.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -259,7 +267,7 @@
 	}
 	for c := range s.conns {
 		if c.idle.Load() {
-			c.nc.SetReadDeadline(time.Now().Add(orElse(s.Times.DrainIdle, drainIdle)))
+			c.nc.SetReadDeadline(now.Add(orElse(s.Times.DrainIdle, drainIdle)))
 		}
 	}
 }
@@ -271,6 +279,19 @@
 	lingerFor   = 500 * time.Millisecond
 )
 
+// drainLeft is for how long an idle connection of a draining server is still read.
+func (s *Server) drainLeft() time.Duration {
+	if !s.Times.DrainKeep {
+		return orElse(s.Times.DrainIdle, drainIdle)
+	}
+	return max(time.Millisecond, time.Duration(s.idleBy.Load()-time.Now().UnixNano()))
+}
+
+// closing tells whether connections end with the answer that is being given.
+func (s *Server) closing() bool {
+	return s.draining.Load() && (!s.Times.DrainKeep || time.Now().UnixNano() >= s.idleBy.Load())
+}
+
 // Wait waits until all connections have ended, or the time has passed; it tells whether they have.
 func (s *Server) Wait(d time.Duration) bool {
 	done := make(chan struct{})
@@ -312,7 +333,7 @@
 		c.idle.Store(true)
 		c.rest.Store(time.Now().UnixNano())
 		if s.draining.Load() {
-			wait = min(wait, orElse(s.Times.DrainIdle, drainIdle))
+			wait = min(wait, s.drainLeft())
 		}
 		c.nc.SetReadDeadline(time.Now().Add(wait))
 		if _, err := c.br.Peek(1); err != nil {
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"log/slog"
 	"time"
 
 	"dillroute/brain"
@@ -82,9 +84,13 @@
 		if r.Err != nil && http1.NoFiles(r.Err) {
 			n.short(n.server.Conns())
 		}
-		if r.Err != nil {
+		if n.log.Enabled(context.Background(), slog.LevelDebug) {
+			text := ""
+			if r.Err != nil {
+				text = r.Err.Error()
+			}
 			n.log.Debug("attempt ended", "request", cmd.ID, "attempt", cmd.N, "engine", cmd.Engine, "progress", r.Facts.Progress,
-				"cause", r.Facts.Cause, "error", r.Err.Error())
+				"cause", r.Facts.Cause, "meaning", r.Facts.Meaning, "error", text)
 		}
 		c.job.Ended(cmd.N, r)
 		delete(c.attempts, cmd.N)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 
 	"dillroute/brain"
 	"dillroute/internal/decide/ending"
+	"dillroute/internal/decide/handover"
 	"dillroute/internal/decide/ledger"
 	"dillroute/internal/decide/rhythm"
 	"dillroute/internal/decide/strain"
@@ -45,7 +46,8 @@
 	calls     map[string]*call
 	addresses map[string]string
 	contacts  map[string]contact
-	releasing int // states that are being let go of
+	endBy     float64 // when what is taken must have been answered, of a node that stops (s); 0 = it does not
+	releasing int     // states that are being let go of
 }
 
 // contact is when an engine last answered a call, and when one last failed (s); 0 = never.
@@ -63,6 +65,7 @@
 	lobby   int   // connections that are refused at a time; 0 = as the server has it
 	held    int64 // bytes of request bodies held at once; 0 = no bound
 	anyone  bool  // any engine lets go of what any holds
+	resume  bool  // clients come again for the rest of a stream that was ended
 }
 
 // Option changes a node from its default.
@@ -205,15 +208,60 @@
 // and stops the node.
 func (n *Node) Shutdown(wait time.Duration) {
 	deadline := time.Now().Add(wait)
+	n.stopTaking(deadline)
+	n.settle(deadline)
+	n.core.post(func(now float64) { n.core.book.EndAll(now) })
+	n.finish()
+}
+
+// ShutdownBy is Shutdown where the process will be killed: what is held is answered by the time given, and streams that
+// run then go on for up to wait. What is taken meanwhile is served only if that can be before.
+func (n *Node) ShutdownBy(by, wait time.Duration) {
+	deadline := time.Now().Add(by)
+	n.core.post(func(now float64) { n.endBy = now + by.Seconds() })
+	n.stopTaking(deadline)
+	if n.plan.resume {
+		n.core.post(n.handOver)
+	}
+	n.settle(deadline)
+	if !n.plan.resume {
+		n.core.post(func(now float64) { n.core.book.EndHeld(now) })
+		n.settle(time.Now().Add(wait))
+	}
+	n.core.post(func(now float64) { n.core.book.EndAll(now) })
+	n.finish()
+}
+
+// handOver ends the streams that run one by one, where clients come again for the rest.
+func (n *Node) handOver(now float64) {
+	ids, since := n.core.book.Streaming()
+	streams := make([]handover.Stream, len(ids))
+	for i := range ids {
+		streams[i] = handover.Stream{ID: ids[i], Since: since[i]}
+	}
+	for _, m := range handover.Plan(now, n.endBy, streams) {
+		n.core.wheel.Add(m.At, func(float64) { n.core.book.Move(m.ID) })
+	}
+}
+
+// stopTaking drains the server; what is on its way is still taken, up to the deadline.
+func (n *Node) stopTaking(deadline time.Time) {
 	n.server.Drain()
 	for end := time.Now().Add(n.plan.times.Takes()); time.Now().Before(earlier(end, deadline)) && !n.hurry.Load(); {
-		time.Sleep(5 * time.Millisecond) // what was on its way is still taken
+		time.Sleep(5 * time.Millisecond)
 	}
 	n.core.post(func(now float64) { n.core.book.Close() })
+}
+
+// settle waits until no request is open, or the deadline.
+func (n *Node) settle(deadline time.Time) {
 	for time.Now().Before(deadline) && !n.hurry.Load() && n.Live() > 0 {
 		time.Sleep(5 * time.Millisecond)
 	}
-	n.core.post(func(now float64) { n.core.book.EndAll(now) })
+}
+
+// finish lets the last words out and stops the node.
+func (n *Node) finish() {
 	grace := time.Now().Add(2 * time.Second)
 	for time.Now().Before(grace) && n.Held() > 0 {
 		time.Sleep(5 * time.Millisecond)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -48,7 +48,7 @@
 func relayPlan(cfg *relay.Config) plan {
 	s, sizes := cfg.Settings, relay.Size(cfg.Limits)
 	rules := s.Brain.Rules
-	return plan{brain: s.Brain, tick: s.Brain.Tick, letGoBy: rules.LetGoBy, held: sizes.Bytes, anyone: true,
+	return plan{brain: s.Brain, tick: s.Brain.Tick, letGoBy: rules.LetGoBy, held: sizes.Bytes, anyone: true, resume: s.Resume,
 		book: ledger.Config{Classes: s.Brain.Classes, MaxOpen: sizes.Requests, MaxAttempts: s.Brain.Limits.MaxAttempts,
 			Slack: rules.AnswerSlack + relay.Slack.Seconds()/2, DrainGrace: rules.DrainGrace, ReleaseAll: true},
 		strain: strain.Limits{Files: cfg.Limits.Sockets, Connections: sizes.Clients, Bytes: sizes.Bytes,
--- a/internal/node/take.go
+++ b/internal/node/take.go
@@ -14,6 +14,9 @@
 // passed since; our own lag is taken off.
 func (n *Node) take(now float64, x *http1.Exchange, asked protocol.Asked) {
 	q, whole, job := asked.Request, asked.Whole, asked.Job
+	if n.endBy > 0 {
+		q.TimeLeft = max(0, min(q.TimeLeft, n.endBy-now+time.Since(x.Arrived).Seconds()))
+	}
 	patience := q.TimeLeft
 	v := n.strain.take(now, strain.Request{Patience: patience, Spent: time.Since(x.Arrived).Seconds(), Held: n.server.Held()})
 	if !v.OK {
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -107,6 +107,8 @@
 		say(400, err.Error())
 		return
 	}
+	f.log.Debug("asked", "request", q.ID, "class", q.Class, "session", q.Session, "budget", q.TimeLeft, "retry", q.Retry,
+		"returned", q.Returned, "prompt", q.PromptLen, "prefix", q.PrefixLen, "most", q.MaxOut)
 	j := &job{front: f, id: q.ID, x: x, method: x.Method, target: x.Target(), body: x.Body,
 		kind: x.Header.Get("Content-Type")}
 	x.Body, x.Header = nil, nil // j and q hold what is needed
--- a/internal/relay/sizes.go
+++ b/internal/relay/sizes.go
@@ -11,12 +11,27 @@
 
 // Times are those of the protocol's pages. A client that says nothing, or does not end what it says, is due an answer or
 // a close within 3 s of connecting; a connection without a request may be closed after 2 s, and sooner to make room: its
-// client asks again. A node that is told to stop goes on accepting for as long as connections keep coming (0.4 s).
+// client asks again. A node that is told to stop goes on taking requests for as long as those that it takes may be unanswered
+// when it is killed, which is no shorter than new connections keep coming (0.4 s).
 var Times = http1.Times{First: 2100 * time.Millisecond, Head: 700 * time.Millisecond, Body: 700 * time.Millisecond,
 	Whole: 700 * time.Millisecond, Idle: 10 * time.Second, Rest: 100 * time.Millisecond, Write: 4 * time.Second,
-	DrainAccept: 700 * time.Millisecond, DrainIdle: 200 * time.Millisecond, Linger: 300 * time.Millisecond,
+	DrainAccept: stopTakes, DrainIdle: stopTakes, DrainKeep: true, Linger: 300 * time.Millisecond,
 	Lobby: 100 * time.Millisecond}
 
+// How a node ends (PROTOCOL, figures): SIGKILL comes no sooner than 0.7 s and the longest deadline after SIGTERM, counted as
+// 3 s where it is longer.
+const (
+	killAfter  = 700 * time.Millisecond
+	mostCounts = 3 * time.Second
+	stopTakes  = 550 * time.Millisecond // a request that comes 0.7 s after SIGTERM must have ended by then, its stream too
+	stopSpare  = 300 * time.Millisecond // kept for the last words
+)
+
+// StopBy is within what a node that is told to stop must have answered.
+func StopBy(patience float64) time.Duration {
+	return min(mostCounts, seconds(patience)) + killAfter - stopSpare
+}
+
 // RequestLimits bound a client's message: a body holds at most 256 KiB.
 var RequestLimits = http1.Limits{Line: 4 << 10, Header: 16 << 10, Headers: 64, Body: 256 << 10}
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,7 @@
 	Idle     float64 // after which an idle connection is closed by an engine at the latest; 0 = not told
 	Connect  float64 // within which a connection must be made; 0 = not told
 	Patience float64 // the longest that a client of any class waits
+	Resume   bool    // clients come again for the rest of a stream that broke
 }
 
 // facts mirrors the object, as far as it is used.
@@ -48,6 +49,7 @@
 	Tick         float64  `json:"tick_s"`
 	Family       struct {
 		Ahead     bool      `json:"ahead"`
+		Resume    bool      `json:"resume"`
 		LocalRead bool      `json:"local_read"`
 		AimPerK   []float64 `json:"aim_us_per_1000_prompt_tokens"`
 		TokenAim  []float64 `json:"token_aim_s"`
@@ -116,7 +118,7 @@
 		return nil, err
 	}
 	s := &Settings{Brain: c, Zones: f.Localities, Kinds: f.MachineTypes, MaxOpen: f.Limits.MaxOpen,
-		Idle: f.Limits.KeepAlive, Connect: f.Limits.Connect}
+		Idle: f.Limits.KeepAlive, Connect: f.Limits.Connect, Resume: f.Family.Resume}
 	for _, k := range f.Classes {
 		s.Classes = append(s.Classes, k.Name)
 		s.Patience = max(s.Patience, k.HardLimit)
