--- a/brain/brain.go
+++ b/brain/brain.go
@@ -62,6 +62,7 @@
 	reportLag   = 0.2  // s by which a load report is taken to be late
 	reportFresh = 5.0  // s after which a report says little more of its engine than its kind's mean does
 	perUtil     = 100  // streams that a full writer is taken to hold where only shares are reported
+	backLeast   = 0.1  // s after which a refused client may ask again at the earliest, but for the spread
 	tieSpread   = 0.2  // room by which writers known from old reports alone are drawn apart
 	probeBudget = 5e-3 // points of the result that routine probes may cost
 	farKnown    = 10   // room that a writer in another cell must have more where its report is fresh,
@@ -304,11 +305,24 @@
 func (r *Router) answer(q *request) Action {
 	may := q.mayRun || q.out >= 0
 	if q.class.Effect == Repeatable || !may || q.class.Effect == ByKey && q.class.Group == GroupAll {
-		return Refuse{ID: q.ID}
+		return Refuse{q.ID, r.comeBack()}
 	}
 	return Fail{q.ID}
 }
 
+// comeBack is when a refused client may ask again: after the shortest wait that we expect at a reader, spread
+// so that those refused together do not return together. 0 = it is not told.
+func (r *Router) comeBack() float64 {
+	if !r.cfg.Limits.RetryAfter {
+		return 0
+	}
+	wait := r.cfg.Limits.MaxRetryAfter
+	for _, e := range r.pool(func(e *engine) bool { return e.role != Write }) {
+		wait = min(wait, r.backlog(e))
+	}
+	return min(r.cfg.Limits.MaxRetryAfter, max(backLeast, wait)*(0.5+r.rng.Float64()))
+}
+
 // maySend tells whether the ledger allows an attempt that could have an effect at e (rule 2).
 func (r *Router) maySend(q *request, e *engine) bool {
 	if !q.mayRun || q.class.Effect == Repeatable {
@@ -540,7 +554,12 @@
 // readTime predicts a read: others' reads ahead show in the wait learned, our own count as they are.
 func (r *Router) readTime(q *request, e *engine) (t, tokens, load float64) {
 	tokens = max(32, q.PromptLen-r.keptAt(q, e))
-	load = tokens + overhead
+	load = tokens + overhead + ahead(e)
+	return max(0, r.wait(e)+load*r.spt(e)), tokens, load
+}
+
+// ahead is what we have given an engine to read already; backlog is how long a newcomer waits there.
+func ahead(e *engine) (load float64) {
 	for _, x := range e.reads {
 		load += x.tokens + overhead
 	}
@@ -549,9 +568,11 @@
 			load += x.tokens + overhead
 		}
 	}
-	return max(0, r.wait(e)+load*r.spt(e)), tokens, load
+	return load
 }
 
+func (r *Router) backlog(e *engine) float64 { return max(0, r.wait(e)+ahead(e)*r.spt(e)) }
+
 // way groups the moves that share a fate: those out of one cell to one zone.
 func way(from, to *engine) linkKey { return linkKey{from.Cell, to.Zone} }
 
@@ -793,10 +814,13 @@
 // expire answers a request whose time is nearly up, or that can have no further attempt, and drops to the
 // low tier one that can no longer start in time.
 func (r *Router) expire(q *request) bool {
-	best := r.bestCase(q)
+	best, until := r.bestCase(q), q.deadline
+	if q.class.LateValue <= 0 {
+		until = q.aim // a late answer is worth nothing
+	}
 	q.due = q.deadline - r.margin()
 	if q.out < 0 {
-		q.due = min(q.due, q.deadline-min(best, 0.5*q.TimeLeft))
+		q.due = min(q.due, until-best) // what can no longer be served with some worth is given up at once
 		if q.sent >= r.cfg.Limits.MaxAttempts || q.mayRun && !r.maySend(q, q.mayRunOn) {
 			q.due = r.now
 		}
