--- a/brain/brain.go
+++ b/brain/brain.go
@@ -793,11 +793,12 @@
 		}
 	}
 	byDeadline(tiers[0])
-	busy := len(r.admitHigh(tiers[0])) > 0
-	byDeadline(tiers[1])
-	for _, q := range tiers[1] {
-		if busy || !r.admit(q, true) {
-			r.finish(q, r.answer(q))
+	if len(r.admitHigh(tiers[0])) == 0 {
+		byDeadline(tiers[1])
+		for i, fails := 0, 0; i < len(tiers[1]) && fails < window; i++ { // bounded: thousands may wait
+			if !r.admit(tiers[1][i], true) {
+				fails++
+			}
 		}
 	}
 	r.probe()
