--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -966,3 +966,66 @@
 		t.Fatalf("%d requests within the share in %d s, quota %g a second", granted, seconds, quota)
 	}
 }
+
+// What can no longer be served with some worth is refused in that pass, not when half of its time is over, and what
+// still earns a late worth waits.
+func TestWhatHasNoWayLeftIsRefusedAtOnce(t *testing.T) {
+	r := start(t, testConfig(), fleet())
+	q := ask("a", 0)
+	q.PromptLen, q.PrefixLen, q.TimeLeft = 2e5, 0, 2 // 10 s to read at best
+	one[Refuse](t, r.Step(1, []Event{q}))
+
+	cfg := testConfig()
+	cfg.Classes[0].LateValue = 0
+	r = start(t, cfg, fleet())
+	q = ask("b", 0)
+	q.PromptLen, q.PrefixLen, q.TimeLeft = 6e4, 0, 30 // 3 s at best: in time, but after its aim
+	cfg.Classes[0].AimPerK = 0
+	r = start(t, cfg, fleet())
+	one[Refuse](t, r.Step(1, []Event{q}))
+
+	cfg = testConfig()
+	cfg.Classes[0].AimPerK = 0
+	r = start(t, cfg, fleet())
+	none[Refuse](t, r.Step(1, []Event{q}))
+}
+
+// A refusal tells when to come back where the settings let it: within the most that they allow, spread, sooner where
+// nothing waits; and says nothing where they do not.
+func TestRefusalsTellWhenToComeBack(t *testing.T) {
+	hopeless := func(id string) Request {
+		q := ask(id, 0)
+		q.PromptLen, q.PrefixLen, q.TimeLeft = 2e5, 0, 2
+		return q
+	}
+	r := start(t, testConfig(), fleet())
+	if a := one[Refuse](t, r.Step(1, []Event{hopeless("a")})); a.RetryAfter != 0 {
+		t.Fatalf("a time where none is allowed: %g", a.RetryAfter)
+	}
+	cfg := testConfig()
+	cfg.Limits.RetryAfter, cfg.Limits.MaxRetryAfter = true, 1
+	r = start(t, cfg, fleet())
+	idle, seen := 0.0, map[float64]bool{}
+	for i := range 20 {
+		a := one[Refuse](t, r.Step(1+float64(i)/100, []Event{hopeless(fmt.Sprint("a", i))}))
+		if !(a.RetryAfter > 0 && a.RetryAfter <= 1) {
+			t.Fatalf("%g", a.RetryAfter)
+		}
+		idle, seen[a.RetryAfter] = idle+a.RetryAfter/20, true
+	}
+	if len(seen) < 10 {
+		t.Fatalf("those refused together come back together: %v", seen)
+	}
+	for i := range 60 { // both readers get much to read
+		q := ask(fmt.Sprint("b", i), 0)
+		q.PromptLen, q.PrefixLen, q.TimeLeft, q.Prefix = 5000, 0, 30, fmt.Sprint("p", i)
+		r.Step(2, []Event{q})
+	}
+	busy := 0.0
+	for i := range 20 {
+		busy += one[Refuse](t, r.Step(2.01+float64(i)/1000, []Event{hopeless(fmt.Sprint("c", i))})).RetryAfter / 20
+	}
+	if busy <= idle {
+		t.Fatalf("asked back after %g s behind a queue, %g s without one", busy, idle)
+	}
+}
--- /dev/null
+++ b/internal/decide/ledger/releaseall_test.go
@@ -0,0 +1,155 @@
+package ledger
+
+import (
+	"testing"
+
+	"dillroute/brain"
+	"dillroute/internal/decide/ending"
+
+	"pgregory.net/rapid"
+)
+
+func allBook() *Ledger {
+	l := newBook()
+	cfg := l.cfg
+	cfg.ReleaseAll = true
+	l.Reconfigure(cfg)
+	return l
+}
+
+// A release that takes everything would take the state of a read that runs: it waits until nothing is at stake.
+func TestReleaseForAllWaitsForWhatIsOut(t *testing.T) {
+	l := allBook()
+	l.Request(1, request("a", 0), 0)
+	l.Apply(1, brain.Send{ID: "a", Engine: "r0"})
+	l.Apply(1, brain.Send{ID: "a", Engine: "r1"})
+	l.Take()
+	l.Ended(1.1, "a", 0, ending.Facts{Progress: ending.Written, Cause: ending.Broken}, nil)
+	if rs := find[Release](l); len(rs) != 0 {
+		t.Fatalf("released while another read is out: %v", rs)
+	}
+	l.Ended(1.2, "a", 1, ending.Facts{Progress: ending.Headed, Cause: ending.Answered, Meaning: ending.Read}, nil)
+	if rs := find[Release](l); len(rs) != 0 {
+		t.Fatalf("released while a state is wanted: %v", rs)
+	}
+	n := decode(t, l, 1.3, "a", "w0")
+	l.First(1.4, "a", n)
+	l.Ended(1.5, "a", n, ending.Facts{Progress: ending.Streaming, Cause: ending.Answered, Meaning: ending.Done}, nil)
+	if rs := find[Release](l); len(rs) != 1 || rs[0].Engine != "r0" || !rs[0].Cut {
+		t.Fatalf("%v", rs)
+	}
+}
+
+// A release that failed is not repeated over what has come since; it is owed anew.
+func TestReleaseIsNotRepeatedOverANewRead(t *testing.T) {
+	l := allBook()
+	l.Request(1, request("a", 0), 0)
+	l.Apply(1, brain.Send{ID: "a", Engine: "r0"})
+	l.Take()
+	l.Ended(1.1, "a", 0, ending.Facts{Progress: ending.Written, Cause: ending.Expired}, nil)
+	rs := find[Release](l)
+	if len(rs) != 1 || !l.Wanted(rs[0]) {
+		t.Fatalf("%v", rs)
+	}
+	l.Apply(1.2, brain.Send{ID: "a", Engine: "r1"})
+	l.Take()
+	if l.Wanted(rs[0]) {
+		t.Fatal("the new read would be lost")
+	}
+	l.Apply(1.3, brain.Refuse{ID: "a"})
+	l.Ended(1.4, "a", 1, ending.Facts{Progress: ending.Written, Cause: ending.Overtaken}, nil)
+	if again := find[Release](l); len(again) != 1 {
+		t.Fatalf("%v", again)
+	}
+}
+
+// An engine that read for itself keeps what it has read when its attempt breaks off.
+func TestUnreadAttemptThatBrokeIsReleased(t *testing.T) {
+	l := allBook()
+	l.Request(1, request("a", 0), 0)
+	n := decode(t, l, 1, "a", "w0")
+	l.Ended(1.1, "a", n, ending.Facts{Progress: ending.Written, Cause: ending.Broken}, nil)
+	if rs := find[Release](l); len(rs) != 1 || rs[0].Engine != "w0" {
+		t.Fatalf("%v", rs)
+	}
+	l.Request(2, request("b", 0), 0)
+	n = decode(t, l, 2, "b", "w0")
+	l.Ended(2.1, "b", n, ending.Facts{Progress: ending.Headed, Cause: ending.Answered, Meaning: ending.Turned}, nil)
+	if rs := find[Release](l); len(rs) != 0 {
+		t.Fatalf("what never ran holds nothing: %v", rs)
+	}
+}
+
+func TestIDInUseLeavesTheFirstRequest(t *testing.T) {
+	l := allBook()
+	l.Request(1, request("a", 0), 0)
+	if no, ok := l.Request(1.1, request("a", 1), 0); ok || no.HTTP != 409 || no.Retry {
+		t.Fatalf("%+v %v", no, ok)
+	}
+	decode(t, l, 1.2, "a", "w0")
+}
+
+// Over all stories of one request: a release is never made while an attempt is out or a state waits, and whatever may be
+// held is released before the request is forgotten.
+func TestReleaseForAllProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := allBook()
+		l.Request(1, request("a", 0), 0)
+		l.Take()
+		now, out, held, state, forgotten := 1.0, map[int]Start{}, false, false, false
+		see := func() {
+			for _, c := range l.TakeCommands() {
+				switch c := c.(type) {
+				case Start:
+					out[c.N] = c
+				case Release:
+					if len(out) > 0 {
+						t.Fatal("released while an attempt is out")
+					}
+					held, state = false, false
+				case Forget:
+					if held {
+						t.Fatal("forgotten with something held")
+					}
+					forgotten = true
+				}
+			}
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			now += 0.01
+			switch k := rapid.IntRange(0, 4).Draw(t, "what"); {
+			case k == 0:
+				l.Apply(now, brain.Send{ID: "a", Engine: rapid.SampledFrom([]string{"r0", "r1", "w0"}).Draw(t, "engine")})
+			case k == 1:
+				l.Apply(now, brain.Release{ID: "a"})
+			case k == 2 && rapid.Bool().Draw(t, "refuse"):
+				l.Apply(now, brain.Refuse{ID: "a"})
+			default:
+				for n, s := range out {
+					f := ending.Facts{Progress: ending.Written, Cause: rapid.SampledFrom([]ending.Cause{ending.Broken, ending.Expired, ending.Stopped}).Draw(t, "cause")}
+					if rapid.Bool().Draw(t, "answered") {
+						f = ending.Facts{Progress: ending.Headed, Cause: ending.Answered, Meaning: rapid.SampledFrom([]ending.Meaning{ending.Read, ending.Turned, ending.NoState}).Draw(t, "meaning")}
+					}
+					delete(out, n)
+					may := f.Cause != ending.Answered && (s.Stage == ending.Prefill || !s.State)
+					read := f.Cause == ending.Answered && f.Meaning == ending.Read && s.Stage == ending.Prefill
+					held, state = held || may || read, state || read
+					l.Ended(now, "a", n, f, nil)
+					break
+				}
+			}
+			see()
+		}
+		l.Apply(now, brain.Refuse{ID: "a"})
+		see()
+		for n := range out {
+			delete(out, n)
+			l.Ended(now, "a", n, ending.Facts{Progress: ending.Written, Cause: ending.Overtaken}, nil)
+			held = true
+			see()
+		}
+		if !forgotten {
+			t.Fatal("not forgotten")
+		}
+	})
+}
--- a/internal/decide/letgo/letgo_test.go
+++ b/internal/decide/letgo/letgo_test.go
@@ -35,3 +35,36 @@
 		}
 	})
 }
+
+// Who answered last comes before who failed last; the holder comes first among its likes; nobody is left out.
+func TestOrderOfThoseAsked(t *testing.T) {
+	got := ""
+	for _, e := range Order([]Engine{
+		{ID: "dead holder", Holder: true, Good: 1, Bad: 5},
+		{ID: "gone", Good: 9},
+		{ID: "old", Listed: true, Good: 2},
+		{ID: "new", Listed: true, Good: 8, Bad: 3},
+		{ID: "silent", Listed: true, Bad: 4},
+	}) {
+		got += e.ID + ", "
+	}
+	if want := "new, old, gone, silent, dead holder, "; got != want {
+		t.Errorf("%s; want %s", got, want)
+	}
+	if first := Order([]Engine{{ID: "a", Listed: true, Good: 9}, {ID: "h", Listed: true, Holder: true}})[0].ID; first != "h" {
+		t.Errorf("the holder comes first, not %s", first)
+	}
+}
+
+func TestCallsLeaveTimeForOthers(t *testing.T) {
+	p := Plan{By: 11}
+	if w := p.Within(10); w > 0.3 {
+		t.Errorf("one call may take %g of a second", w)
+	}
+	if w := p.Within(12); w <= 0 {
+		t.Errorf("a call has %g s", w)
+	}
+	if Ready(5, false) != 5 || Ready(5, true) <= 5 {
+		t.Error("only what was cut waits")
+	}
+}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -58,7 +58,6 @@
 
 	mu     sync.Mutex
 	told   *believe.Told
-	addrs  map[string]string
 	watch  *watch
 	closed bool
 }
@@ -75,7 +74,7 @@
 // Follow starts following discovery at an address, from what was known before (may be empty).
 func Follow(addr string, known []byte, s *settings.Settings, take func(protocol.List), log *slog.Logger) *Discovery {
 	d := &Discovery{log: log, kinds: index(s.Kinds), zones: index(s.Zones), roles: s.Brain.Kinds, take: take,
-		told: believe.NewTold(), addrs: map[string]string{}}
+		told: newTold()}
 	var a answer
 	if len(known) > 0 {
 		if err := json.Unmarshal(known, &a); err != nil {
@@ -88,6 +87,9 @@
 	return d
 }
 
+// newTold returns the list of which every word counts.
+func newTold() *believe.Told { return believe.NewTold() }
+
 // Keep is of no use here: no disk survives the node.
 func (d *Discovery) Keep(bool) {}
 
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -51,7 +52,6 @@
 	ready   func() bool
 	classes map[string]int
 	tenants map[string]int
-	limits  []float64 // by class: s that a client waits, where it does not say
 }
 
 // NewFront returns a front that makes its attempts by the engines' client given.
@@ -219,23 +219,23 @@
 		}
 		*to = n
 	}
-	if q.PromptLen > 0 && q.PrefixLen > q.PromptLen {
-		return fmt.Errorf("%s: the prefix is longer than the prompt", headInfo)
-	}
 	return nil
 }
 
 // readBody looks at a body and takes from it what the header does not say.
 func readBody(body []byte, q *brain.Request) error {
-	if len(body) == 0 || !json.Valid(body) {
+	if !json.Valid(body) {
 		return fmt.Errorf("the body is no JSON")
 	}
-	if strings.TrimLeft(string(body[:1]), " \t\r\n") != "{" && body[0] == '[' {
+	if bytes.TrimLeft(body, " \t\r\n")[0] != '{' {
 		return fmt.Errorf("the body is no object")
 	}
 	if q.PromptLen == 0 {
 		q.PromptLen = math.Ceil(float64(len(body)) / charsToken)
 	}
+	if q.PrefixLen > q.PromptLen {
+		return fmt.Errorf("%s: the prefix is longer than the prompt", headInfo)
+	}
 	if q.MaxOut == 0 {
 		var b struct {
 			Max float64 `json:"max_tokens"`
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,162 @@
+package relay
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"math"
+	"net/textproto"
+	"strings"
+	"testing"
+
+	"dillroute/brain"
+	"dillroute/internal/decide/ending"
+	"dillroute/internal/http1"
+	"dillroute/internal/protocol"
+	"dillroute/internal/settings"
+	"dillroute/lab/platform"
+)
+
+func given(t testing.TB) *settings.Settings {
+	t.Helper()
+	s, err := settings.Parse([]byte(platform.Settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestConfigurationFromFileAndEnvironment(t *testing.T) {
+	env := map[string]string{"RELAY_NAME": "n7", "RELAY_LISTEN": "127.0.0.1:1", "RELAY_DISCOVERY": "127.0.0.1:2"}
+	c, err := parse([]byte(`{"seed":"8c1f30d27a5be964","limits":{"cores":0.5,"memory_mb":32,"sockets":256},"settings":`+platform.Settings+`}`),
+		func(n string) string { return env[n] })
+	if err != nil || c.Name != "n7" || c.Discovery != "127.0.0.1:2" || c.Seed != 0x8c1f30d27a5be964 || c.Limits.Sockets != 256 {
+		t.Fatalf("%+v, %v", c, err)
+	}
+	for name, text := range map[string]string{
+		"no JSON": "{", "no settings": `{}`, "bad seed": `{"seed":"x","settings":` + platform.Settings + `}`,
+		"negative limit": `{"limits":{"sockets":-1},"settings":` + platform.Settings + `}`, "bad settings": `{"settings":{"classes":[{"effect":"maybe"}]}}`,
+	} {
+		if _, err := parse([]byte(text), func(n string) string { return env[n] }); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+	if _, err := parse([]byte(`{"settings":`+platform.Settings+`}`), func(string) string { return "" }); err == nil {
+		t.Error("a node without a name was taken")
+	}
+	if _, err := Load(func(string) string { return "" }); err == nil {
+		t.Error("no file was taken")
+	}
+}
+
+// The parts of the limits never come to more than the whole, at the smallest ones too.
+func TestSizesFitTheLimits(t *testing.T) {
+	for _, sockets := range []int{64, 256, 512, 768, 1024, 4096} {
+		s := Size(Limits{Sockets: sockets, MemoryMB: 32})
+		if used := s.Clients + s.Lobby + s.Engines; used > sockets-sockets/20 {
+			t.Errorf("%d of %d descriptors", used, sockets)
+		}
+		if s.Clients < sockets/3 || s.Bytes > 32<<20/4 {
+			t.Errorf("%+v", s)
+		}
+	}
+}
+
+func TestWordsSayWhatTheyMay(t *testing.T) {
+	j := &job{}
+	for _, c := range []struct {
+		a      ending.Answer
+		after  float64
+		status int
+		header bool
+	}{
+		{ending.Refused(), 0.25, 503, true}, {ending.Refused(), 0, 503, false}, {ending.Failed(), 0.25, 500, false},
+		{ending.Answer{HTTP: 409}, 0, 409, false}, {ending.Answer{HTTP: 429, Retry: true}, 1, 429, true},
+		{ending.Answer{HTTP: 503}, 0, 500, false}, {ending.Answer{HTTP: 400, Retry: true}, 0, 503, false},
+	} {
+		w := j.Word(c.a, c.after, "x")
+		has := false
+		for _, f := range w.Fields {
+			has = has || f.Name == "Retry-After"
+		}
+		if w.Status != c.status || has != c.header {
+			t.Errorf("%+v, %g: %+v", c.a, c.after, w)
+		}
+	}
+}
+
+func TestReportsThatCannotBeReadArePassedOver(t *testing.T) {
+	if r := parseLoad("util=0.61,queue=2,x0=0.25,other=7"); r == nil || r.Util != 0.61 || r.Waiting != 2 || r.MemShare != 0.25 ||
+		r.Has != brain.HasUtil|brain.HasWaiting|brain.HasMemShare {
+		t.Errorf("%+v", r)
+	}
+	for _, bad := range []string{"", "util", "util=", "util=often", "util=-1", "util=NaN", "util=1e300", "=", "other=1", strings.Repeat("x", 1000)} {
+		if r := parseLoad(bad); r != nil {
+			t.Errorf("%q: %+v", bad, r)
+		}
+	}
+}
+
+// FuzzRequest: whatever a head and body say, what is taken can be told to the module.
+func FuzzRequest(f *testing.F) {
+	f.Add("a1", "chat", "branch", "4.8", "prefix=5c,prompt_len=20,prefix_len=3,max_out=8", "1", `{"max_tokens":3}`)
+	f.Add("", "", "", "NaN", "prompt_len=-1", "x", "[")
+	f.Add("a/../b", "chat", "branch", "1e999", "max_out=1e300,,=", "again", "{}")
+	front := NewFront(given(f), nil, func() bool { return true }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	f.Fuzz(func(t *testing.T, id, class, tenant, budget, info, again, body string) {
+		r := &http1.Request{Method: "POST", Path: pathChat, Body: []byte(body), Header: textproto.MIMEHeader{
+			headID: {id}, headClass: {class}, headTenant: {tenant}, headBudget: {budget}, headInfo: {info}, headAgain: {again}}}
+		q, err := front.request(r)
+		if err != nil {
+			return
+		}
+		for _, x := range []float64{q.TimeLeft, q.PromptLen, q.PrefixLen, q.MaxOut} {
+			if !(x >= 0) || math.IsInf(x, 0) {
+				t.Fatalf("%+v", q)
+			}
+		}
+		if q.ID == "" || strings.ContainsAny(q.ID, "/ \r\n%?") || q.TimeLeft <= 0 || q.PrefixLen > q.PromptLen || !json.Valid([]byte(body)) {
+			t.Fatalf("%+v of %q", q, body)
+		}
+	})
+}
+
+// FuzzList: whatever discovery says, the host is given a list that it can take.
+func FuzzList(f *testing.F) {
+	f.Add([]byte(`{"version":1,"full":true,"servers":[{"id":"a","addr":"h:1","zone":"z","kind":"read","cell":1,"state":"up","weight":1,"started_ms":5}]}`))
+	f.Add([]byte(`{"version":0,"servers":[{"id":"a","state":"removed"}]}`))
+	f.Add([]byte(`{"version":1e3,"servers":[null]}`))
+	s := given(f)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		a, err := readList(text)
+		if err != nil {
+			return
+		}
+		d := &Discovery{log: slog.New(slog.NewTextHandler(io.Discard, nil)), kinds: index(s.Kinds), zones: index(s.Zones), roles: s.Brain.Kinds,
+			told: newTold(), take: func(l protocol.List) {
+				for _, e := range l.Engines {
+					if e.ID == "" || e.Kind < 0 || e.Kind >= len(s.Kinds) || e.Zone < 0 || e.Zone >= len(s.Zones) {
+						t.Fatalf("%+v", e)
+					}
+				}
+			}}
+		d.hear(a, false)
+	})
+}
+
+// FuzzEvents: what engines say in events is read without harm.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte(`{"usage":{"prompt_tokens_details":{"cached_tokens":4096}}}`))
+	f.Add([]byte(`{"usage":{"prompt_tokens_details":{"cached_tokens":-1e308}}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if kept, ok := readUsage(data); kept < 0 || kept > maxTokens || !ok && kept != 0 {
+			t.Fatal(kept)
+		}
+		if kept := readCached(data); kept < 0 || kept > maxTokens {
+			t.Fatal(kept)
+		}
+		if isEvent(data) && !json.Valid(data) {
+			t.Fatal("an event that is none")
+		}
+	})
+}
