How long a kept connection is used again is learnt from losses; once requests get new ones

Ruled out: engines (the same ones answered others at the same time) and the look for a close before each use (alive): the closes cross the request. At fault: NewEngines, which kept connections for 10 s whatever happened to them. Changed: decide/reuse shortens the rest after which a connection is used again to a quarter of one that was lost, to none for 10 s where the shortest rests are lost, and lets it grow back; a request whose effect must not happen twice goes out on a new connection.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -24,6 +24,8 @@
 	MaxOpen int           // open at once, idle ones included, which make room; 0 = no bound
 	Idle    time.Duration // after which an idle connection closes
 	Limits  Limits
+	// Rest is asked how long a connection may have rested that Get returns; nil = Idle.
+	Rest func() time.Duration
 	// Chunk bounds the size of one chunk of an answer; 0 = no bound. Head bounds the time from the first byte of an answer
 	// to the end of its head; 0 = no bound but the connection's.
 	Chunk int64
@@ -50,21 +52,32 @@
 	until time.Time // the bound on reads and writes; zero = none
 	// Reused tells that the connection has carried an exchange before.
 	Reused bool
+	// Rested is for how long it had rested then.
+	Rested time.Duration
 }
 
 // Get returns an idle connection that is still open, or makes one within the time given.
 func (p *Pool) Get(addr string, timeout time.Duration) (*ClientConn, error) {
+	limit := p.Idle
+	if p.Rest != nil {
+		limit = min(limit, p.Rest())
+	}
 	for {
 		c := p.pop(addr)
 		if c == nil {
 			break
 		}
-		if time.Since(c.used) < p.Idle && c.alive() {
+		if c.Rested = time.Since(c.used); c.Rested < limit && c.alive() {
 			c.Reused = true
 			return c, nil
 		}
 		c.Close()
 	}
+	return p.Dial(addr, timeout)
+}
+
+// Dial makes a connection within the time given.
+func (p *Pool) Dial(addr string, timeout time.Duration) (*ClientConn, error) {
 	if !p.enter() {
 		return nil, ErrNoRoom
 	}
@@ -139,6 +152,10 @@
 
 // Sweep closes connections that have been idle for too long; call it now and then.
 func (p *Pool) Sweep() {
+	limit := p.Idle
+	if p.Rest != nil {
+		limit = min(limit, p.Rest())
+	}
 	var old []*ClientConn
 	defer func() { closeAll(old) }()
 	p.mu.Lock()
@@ -146,7 +163,7 @@
 	for addr, xs := range p.idle {
 		keep := xs[:0]
 		for _, c := range xs {
-			if time.Since(c.used) < p.Idle {
+			if time.Since(c.used) < limit {
 				keep = append(keep, c)
 			} else {
 				old = append(old, c)
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -90,7 +90,7 @@
 				text = r.Err.Error()
 			}
 			n.log.Debug("attempt ended", "request", cmd.ID, "attempt", cmd.N, "engine", cmd.Engine, "progress", r.Facts.Progress,
-				"cause", r.Facts.Cause, "meaning", r.Facts.Meaning, "error", text)
+				"cause", r.Facts.Cause, "meaning", r.Facts.Meaning, "error", text, "report", r.Report)
 		}
 		c.job.Ended(cmd.N, r)
 		delete(c.attempts, cmd.N)
--- a/internal/relay/engines.go
+++ b/internal/relay/engines.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"dillroute/brain"
+	"dillroute/internal/decide/reuse"
 	"dillroute/internal/http1"
 	"dillroute/internal/settings"
 )
@@ -17,22 +19,50 @@
 type Engines struct {
 	pool    *http1.Pool
 	connect time.Duration // most time for a connection
+
+	mu    sync.Mutex
+	reuse *reuse.State
+	start time.Time // of its clock
 }
 
 // NewEngines returns a client of engines that holds at most so many connections.
 func NewEngines(s *settings.Settings, most int) *Engines {
-	e := &Engines{connect: 250 * time.Millisecond,
+	e := &Engines{connect: 250 * time.Millisecond, reuse: reuse.New(s.Idle), start: time.Now(),
 		pool: &http1.Pool{MaxIdle: 16, MaxOpen: most, Idle: 10 * time.Second, Limits: answerLimits, Chunk: maxChunk}}
 	if s.Connect > 0 {
 		e.connect = seconds(s.Connect)
 	}
-	if s.Idle > 0 { // the engine closes it then at the latest, and a request that crosses that is lost
-		e.pool.Idle = min(e.pool.Idle, seconds(s.Idle)/2)
-	}
-	e.pool.Head = 2 * e.connect
+	e.pool.Head, e.pool.Rest = 2*e.connect, e.rest
 	return e
 }
 
+func (e *Engines) now() float64 { return time.Since(e.start).Seconds() }
+
+// rest is how long a connection may have rested that is used again.
+func (e *Engines) rest() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return seconds(e.reuse.Limit(e.now()))
+}
+
+// lost files that a kept connection broke under its next request.
+func (e *Engines) lost(c *http1.ClientConn) {
+	if !c.Reused {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reuse.Lost(e.now(), c.Rested.Seconds())
+}
+
+// get returns a connection for an attempt; fresh = one that has carried nothing yet.
+func (e *Engines) get(address string, within time.Duration, fresh bool) (*http1.ClientConn, error) {
+	if fresh {
+		return e.pool.Dial(address, min(e.connect, within))
+	}
+	return e.pool.Get(address, min(e.connect, within))
+}
+
 // Bounds of answers, in bytes.
 const maxChunk = 256 << 10
 
@@ -47,7 +77,7 @@
 
 // Release lets go of all that any engine holds for a request; whichever is asked sees to it.
 func (e *Engines) Release(address, id string, _ int, within time.Duration) error {
-	c, err := e.pool.Get(address, min(e.connect, within))
+	c, err := e.get(address, within, false)
 	if err != nil {
 		return err
 	}
@@ -64,6 +94,7 @@
 			}
 		}
 	}
+	e.lost(c)
 	c.Close()
 	return err
 }
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -52,11 +52,16 @@
 	ready   func() bool
 	classes map[string]int
 	tenants map[string]int
+	effects []brain.Effect // by class
 }
 
 // NewFront returns a front that makes its attempts by the engines' client given.
 func NewFront(s *settings.Settings, engines *Engines, ready func() bool, log *slog.Logger) *Front {
-	return &Front{log: log, engines: engines, ready: ready, classes: index(s.Classes), tenants: index(s.Tenants)}
+	f := &Front{log: log, engines: engines, ready: ready, classes: index(s.Classes), tenants: index(s.Tenants)}
+	for _, c := range s.Brain.Classes {
+		f.effects = append(f.effects, c.Effect)
+	}
+	return f
 }
 
 func index(names []string) map[string]int {
@@ -110,7 +115,7 @@
 	f.log.Debug("asked", "request", q.ID, "class", q.Class, "session", q.Session, "budget", q.TimeLeft, "retry", q.Retry,
 		"returned", q.Returned, "prompt", q.PromptLen, "prefix", q.PrefixLen, "most", q.MaxOut)
 	j := &job{front: f, id: q.ID, x: x, method: x.Method, target: x.Target(), body: x.Body,
-		kind: x.Header.Get("Content-Type")}
+		kind: x.Header.Get("Content-Type"), effect: f.effects[q.Class]}
 	x.Body, x.Header = nil, nil // j and q hold what is needed
 	if !take(protocol.Asked{Request: q, Job: j}) {
 		say(503, "the node is stopping")
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -10,7 +10,9 @@
 	"sync"
 	"time"
 
+	"dillroute/brain"
 	"dillroute/internal/decide/ending"
+	"dillroute/internal/decide/reuse"
 	"dillroute/internal/http1"
 	"dillroute/internal/protocol"
 )
@@ -23,13 +25,14 @@
 	x              *http1.Exchange
 	method, target string
 	kind           string // of the body
+	effect         brain.Effect
 	body           []byte
 }
 
 // Attempt prepares an attempt.
 func (j *job) Attempt(c protocol.Call) protocol.Attempt {
 	return &attempt{engines: j.front.engines, call: c, id: j.id, method: j.method, target: j.target, kind: j.kind, body: j.body,
-		x: j.x}
+		x: j.x, fresh: !reuse.Kept(j.effect, c.Stage == ending.Prefill)}
 }
 
 // Ended, Granted and Judged: nothing of an engine's is kept, and no engine judges requests in this protocol.
@@ -72,6 +75,7 @@
 	call               protocol.Call
 	id, method, target string
 	kind               string
+	fresh              bool // on a connection that has carried nothing yet
 	body               []byte
 	x                  *http1.Exchange
 	load               string // the latest load report of a stream
@@ -160,7 +164,7 @@
 func (a *attempt) open(r *protocol.Result) (*http1.ClientConn, *http1.Response) {
 	until := time.Now().Add(a.call.Timeout)
 	r.Facts.Progress = ending.Dialling
-	c, err := a.engines.pool.Get(a.call.Address, min(a.engines.connect, a.call.Timeout))
+	c, err := a.engines.get(a.call.Address, a.call.Timeout, a.fresh)
 	if err != nil {
 		r.Err, r.Facts.Cause = err, a.failed(err, ending.Broken)
 		if errors.Is(err, http1.ErrNoRoom) || http1.NoFiles(err) {
@@ -191,6 +195,9 @@
 	}
 	if err != nil {
 		r.Err, r.Facts.Cause = err, a.failed(err, ending.Expired)
+		if r.Facts.Cause == ending.Broken {
+			a.engines.lost(c)
+		}
 		a.detach()
 		c.Close()
 		return nil, nil
