--- a/brain/brain.go
+++ b/brain/brain.go
@@ -49,6 +49,7 @@
 	sweeps      = 40   // rounds of the fit, by when it has settled
 	patience    = 3    // times its prediction after which an attempt is overdue, beside
 	grace       = 0.3  // s, and
+	lostAfter   = 2    // later attempts that an engine has answered before one that it must have lost
 	spreadOver  = 4    // times the mean error of such predictions (as RFC 6298 does for retransmission)
 	forget      = 5.0  // s after which a gauge has mostly returned to its prior
 	errGain     = 0.3  // weight of the newest outcome in an engine's failure score
@@ -184,6 +185,7 @@
 	}
 	e := q.writer
 	r.borne[e.role].add(r.now, r.weight(q, e.role), rateWindow)
+	q.overtake(e.jobs, writing)
 	own := !q.hasHold // it read the prompt itself
 	q.stage, q.flowAt, q.flowL, q.hasHold = flowing, r.now, r.streams(e), false
 	if own {
@@ -211,9 +213,13 @@
 	if was == writing && !q.hasHold && ev.Status != Served {
 		r.do(Release{q.ID}) // what a mixed engine has read by itself stays held as well
 	}
-	if was == reading || was == writing {
+	lost := q.passed >= lostAfter
+	if (was == reading || was == writing) && !lost {
 		r.spread[e.role].add(r.now, math.Abs(ev.Spent-q.expect), poolGain)
 	}
+	if ev.Status == Parsed {
+		q.overtake(e.reads, reading)
+	}
 	q.out, q.stage, q.holdSince, e.reads = -1, held, r.now, without(e.reads, q)
 	if q.far > 0 {
 		r.link(q.reader, e).out, q.far = r.link(q.reader, e).out-q.far, 0
@@ -238,7 +244,7 @@
 	case NotSent:
 	default:
 		q.failed = e
-		slow := (ev.Status == NoAnswer || ev.Status == CalledOff) && e.lastGood >= q.sentAt
+		slow := (ev.Status == NoAnswer || ev.Status == CalledOff) && e.lastGood >= q.sentAt && !lost
 		if ev.Status == NoConnection && e.err < errEject {
 			r.eject(e)
 		} else if !slow { // an engine that answers others is not failing
@@ -433,7 +439,7 @@
 		for _, q := range xs {
 			if q.stage == reading && q.reader == e || q.stage == writing {
 				waiting++
-				if r.stuck(q, e) {
+				if r.stuck(q, e) && q.passed < lostAfter {
 					return false
 				}
 			}
@@ -442,15 +448,20 @@
 	return e.err < errTrial || waiting == 0
 }
 
-// stuck: an attempt is overdue and its engine has done nothing else for us since.
+// stuck: an attempt is overdue, and its engine has done nothing else for us since, or has answered later ones
+// before it: engines take what waits in order, so that one was lost, however loaded the engine is.
 func (r *Router) stuck(q *request, e *engine) bool {
-	return r.now > r.overdue(q, e) && e.lastGood < q.sentAt
+	return r.now > r.overdue(q, e) && (e.lastGood < q.sentAt || q.passed >= lostAfter)
 }
 
 // overdue is when an attempt has taken longer than our predictions, as wrong as they have lately been, allow.
 // Where all engines are late, none is.
 func (r *Router) overdue(q *request, e *engine) float64 {
-	return q.sentAt + patience*q.expect + grace + spreadOver*r.spread[e.role].get(r.now, 0, 0)
+	t := q.sentAt + patience*q.expect + grace
+	if q.passed < lostAfter {
+		t += spreadOver * r.spread[e.role].get(r.now, 0, 0)
+	}
+	return t
 }
 
 // rescue calls off a stuck attempt, so that the request goes elsewhere while there is time. Attempts at an
@@ -728,7 +739,7 @@
 	if r.cold(e) {
 		e.pushes = append(e.pushes, push{r.now, w})
 	}
-	q.out, q.sentAt, q.expect, q.calledOff = q.sent, r.now, expect, false
+	q.out, q.sentAt, q.expect, q.calledOff, q.passed = q.sent, r.now, expect, false, 0
 	q.sent++
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1029,3 +1029,45 @@
 		t.Fatalf("asked back after %g s behind a queue, %g s without one", busy, idle)
 	}
 }
+
+// An engine that answers some attempts and none to others: one that two later ones overtook is called off and tried
+// elsewhere, and counts against the engine, which is not taken for silent. Two that are merely slow are left alone.
+func TestOvertakenAttemptIsLostNotSlow(t *testing.T) {
+	cfg := testConfig()
+	cfg.Kinds = cfg.Kinds[:2]
+	m := Members{Form: ListFull, Engines: []Engine{eng("r0", 0, 0), eng("r1", 0, 0), eng("w0", 1, 0)}}
+	for _, later := range []int{1, 2} {
+		r := start(t, cfg, m)
+		lost := one[Send](t, r.Step(1, []Event{ask("lost", 0)}))
+		for i := range later {
+			id, now := fmt.Sprint("n", i), 1.1+float64(i)/10
+			s := one[Send](t, r.Step(now, []Event{ask(id, 0)}))
+			if s.Engine != lost.Engine {
+				t.Fatalf("%s went to %s", id, s.Engine)
+			}
+			r.Step(now+0.05, []Event{Outcome{ID: id, Engine: s.Engine, Status: Parsed, Spent: 0.05}})
+		}
+		if r.engines[lost.Engine].err > 0 || !r.trusted(r.engines[lost.Engine]) {
+			t.Fatal("an engine that answers is not silent")
+		}
+		cancelled := false
+		for _, c := range of[Cancel](r.Step(2.2, []Event{Wake{}})) { // the writer says nothing: not what is asked here
+			cancelled = cancelled || c.ID == "lost"
+		}
+		if cancelled != (later == 2) {
+			t.Fatalf("%d later ones answered, called off: %v", later, cancelled)
+		}
+		if later == 1 {
+			continue
+		}
+		acts := r.Step(2.21, []Event{Outcome{ID: "lost", Engine: lost.Engine, Status: CalledOff, Spent: 1.2}})
+		for _, s := range of[Send](acts) {
+			if s.ID == "lost" && s.Engine == lost.Engine {
+				t.Fatal("tried again where it was lost")
+			}
+		}
+		if r.engines[lost.Engine].err <= 0 {
+			t.Fatal("what it loses does not count against it")
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -42,6 +42,7 @@
 	sentAt, expect         float64 // of the attempt out, and how long we think it takes
 	tokens, load           float64 // uncached tokens to read; the same with those ahead of it
 	kept                   float64 // tokens that we think the reader has kept
+	passed                 int     // attempts sent later that its engine has answered before this one
 	flowAt                 float64
 	flowL                  float64 // streams there when ours began
 	far                    float64 // tokens of this request on a cell's link
@@ -388,6 +389,15 @@
 	return slices.DeleteFunc(xs, func(e *engine) bool { return e == q.failed })
 }
 
+// overtake counts those of xs, at the same stage, that were sent before q and are still unanswered when q is.
+func (q *request) overtake(xs []*request, s stage) {
+	for _, x := range xs {
+		if x != q && x.stage == s && x.hasHold == q.hasHold && x.sentAt < q.sentAt {
+			x.passed++
+		}
+	}
+}
+
 // at is the engine of a request's attempt out.
 func (q *request) at() *engine {
 	if q.stage == reading {
