--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,7 +23,8 @@
 	memLimit    = 0.92 // share of a writer's memory that admissions may fill
 	homeFactor  = 2    // a reader that takes this many times as long as the next passes to it,
 	homeSlack   = 0.1  // s beside, and
-	homeChoices = 4    // readers in rendezvous order are asked
+	homeChoices = 4    // readers in rendezvous order are asked,
+	wideChoices = 16   // and so many where none of those passes
 	waitForget  = 15.0 // s after which a reader is mostly taken to wait as its kind does
 	shareWindow = 30.0 // s over which the parts of the shared beginnings in our arrivals are averaged
 	sharePrior  = 5    // requests of other beginnings that are added to them
@@ -57,6 +58,7 @@
 	errTrial    = 0.25 // and above which it gets one request at a time
 	maxEject    = 4.0  // s, the longest ejection before the next trial
 	fullFor     = 0.3  // s that a writer which turned a request away counts as full
+	roomyUtil   = 0.9  // share of its slots in use below which an engine has room
 	holdShare   = 0.5  // share of let_go_by for which a read state may wait for a writer
 	coldSafety  = 0.8  // share of the cold budget that we use; load, not capacity, is what we measure
 	rateWindow  = 10.0 // s over which send and arrival rates are averaged
@@ -235,6 +237,10 @@
 		switch {
 		case ev.Info != 1:
 			e.fullTill = r.now + fullFor
+			if roomy(ev.Report) { // it turns away what it has room for: ill, or about to go
+				q.failed = e
+				r.judge(e, 1)
+			}
 			if was == writing && q.hasHold {
 				q.stage = parsed
 			}
@@ -272,6 +278,11 @@
 	}
 }
 
+// roomy tells whether an engine reports that nothing waits there and slots are free.
+func roomy(rep *Report) bool {
+	return rep != nil && rep.Has&HasWaiting != 0 && rep.Waiting < 1 && rep.Util < roomyUtil
+}
+
 // letGo releases whatever is held for a request of which no attempt is out (rule 5) and frees its place in
 // our own count.
 func (r *Router) letGo(q *request) {
@@ -914,7 +925,10 @@
 	if q.sent+2 <= r.cfg.Limits.MaxAttempts {
 		var rd, w *engine
 		least := math.Inf(1)
-		for _, e := range rds[:min(homeChoices, len(rds))] {
+		for i, e := range rds[:min(wideChoices, len(rds))] {
+			if i >= homeChoices && rd != nil {
+				break
+			}
 			t, _, _ := r.readTime(q, e)
 			if homeSlack+homeFactor*t >= least || low && !r.spare(e, t) {
 				continue
--- a/brain/state.go
+++ b/brain/state.go
@@ -144,6 +144,7 @@
 	probeNext       int
 	watchAt, sweep  float64
 	watching, begun bool
+	probeLog        float64
 }
 
 func (g *gauge) add(now, x, gain float64) {
