--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,8 +23,7 @@
 	memLimit    = 0.92 // share of a writer's memory that admissions may fill
 	homeFactor  = 2    // a reader that takes this many times as long as the next passes to it,
 	homeSlack   = 0.1  // s beside, and
-	homeChoices = 4    // readers in rendezvous order are asked,
-	wideChoices = 16   // and so many where none of those passes
+	homeChoices = 4    // readers in rendezvous order are asked
 	waitForget  = 15.0 // s after which a reader is mostly taken to wait as its kind does
 	shareWindow = 30.0 // s over which the parts of the shared beginnings in our arrivals are averaged
 	sharePrior  = 5    // requests of other beginnings that are added to them
@@ -237,9 +236,8 @@
 		switch {
 		case ev.Info != 1:
 			e.fullTill = r.now + fullFor
-			if roomy(ev.Report) { // it turns away what it has room for: ill, or about to go
+			if roomy(ev.Report) { // it turns away what it has room for: another is asked next
 				q.failed = e
-				r.judge(e, 1)
 			}
 			if was == writing && q.hasHold {
 				q.stage = parsed
@@ -925,10 +923,7 @@
 	if q.sent+2 <= r.cfg.Limits.MaxAttempts {
 		var rd, w *engine
 		least := math.Inf(1)
-		for i, e := range rds[:min(wideChoices, len(rds))] {
-			if i >= homeChoices && rd != nil {
-				break
-			}
+		for _, e := range rds[:min(homeChoices, len(rds))] {
 			t, _, _ := r.readTime(q, e)
 			if homeSlack+homeFactor*t >= least || low && !r.spare(e, t) {
 				continue
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1071,3 +1071,21 @@
 		}
 	}
 }
+
+// An engine that turns away though it reports room is not asked again for that request while there are others; one
+// that is full by its own word may be.
+func TestRejectionInIdlenessGoesElsewhere(t *testing.T) {
+	m := Members{Form: ListFull, Engines: []Engine{eng("r0", 0, 0), eng("r1", 0, 0), eng("w0", 1, 0)}}
+	for _, waiting := range []float64{0, 3} {
+		r := start(t, testConfig(), m)
+		s := one[Send](t, r.Step(1, []Event{ask("a", 0)}))
+		rep := &Report{Waiting: waiting, Util: 0.2, Has: HasWaiting | HasUtil}
+		again := one[Send](t, r.Step(1.3, []Event{Outcome{ID: "a", Engine: s.Engine, Status: TurnedAway, Spent: 0.28, Report: rep}}))
+		if elsewhere := again.Engine != s.Engine; elsewhere != (waiting == 0) {
+			t.Errorf("%g waiting: first %s, then %s", waiting, s.Engine, again.Engine)
+		}
+		if r.engines[s.Engine].err != 0 {
+			t.Error("a rejection is no failure")
+		}
+	}
+}
