A stopping node serves on kept connections for 2 s and hands all its streams over before it is killed

Counted from the logs of both nodes: nobody took a request for 1.3 s, for the second node was told to stop 3 s after the first and took none after 0.55 s; requests on kept connections would have come (those of the first node went on at the full rate for as long as it took them). Ruled out: the start (serving 0.1 s after it is started) and the front (0.4 s after readiness).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -219,9 +219,13 @@
 func (n *Node) ShutdownBy(by, wait time.Duration) {
 	deadline := time.Now().Add(by)
 	n.core.post(func(now float64) { n.endBy = now + by.Seconds() })
+	if n.plan.resume {
+		early := time.AfterFunc(n.plan.times.DrainAccept, func() { n.core.post(n.handOver) })
+		defer early.Stop()
+	}
 	n.stopTaking(deadline)
 	if n.plan.resume {
-		n.core.post(n.handOver)
+		n.core.post(n.handOver) // what has begun meanwhile
 	}
 	n.settle(deadline)
 	if !n.plan.resume {
--- a/internal/relay/sizes.go
+++ b/internal/relay/sizes.go
@@ -15,16 +15,17 @@
 // when it is killed, which is no shorter than new connections keep coming (0.4 s).
 var Times = http1.Times{First: 2100 * time.Millisecond, Head: 700 * time.Millisecond, Body: 700 * time.Millisecond,
 	Whole: 700 * time.Millisecond, Idle: 10 * time.Second, Rest: 100 * time.Millisecond, Write: 4 * time.Second,
-	DrainAccept: stopTakes, DrainIdle: stopTakes, DrainKeep: true, Linger: 300 * time.Millisecond,
+	DrainAccept: stopAccepts, DrainIdle: stopTakes, DrainKeep: true, Linger: 300 * time.Millisecond,
 	Lobby: 100 * time.Millisecond}
 
 // How a node ends (PROTOCOL, figures): SIGKILL comes no sooner than 0.7 s and the longest deadline after SIGTERM, counted as
 // 3 s where it is longer.
 const (
-	killAfter  = 700 * time.Millisecond
-	mostCounts = 3 * time.Second
-	stopTakes  = 550 * time.Millisecond // a request that comes 0.7 s after SIGTERM must have ended by then, its stream too
-	stopSpare  = 300 * time.Millisecond // kept for the last words
+	killAfter   = 700 * time.Millisecond
+	mostCounts  = 3 * time.Second
+	stopAccepts = 550 * time.Millisecond // new connections come for 0.4 s
+	stopTakes   = 2 * time.Second        // clients use those that they have for as long as these stay open
+	stopSpare   = 300 * time.Millisecond // kept for the last words
 )
 
 // StopBy is within what a node that is told to stop must have answered.
