--- a/brain/brain.go
+++ b/brain/brain.go
@@ -20,6 +20,8 @@
 	readSlack   = 1.8  // times its prediction that the first-token test allows a read; queues grow unseen
 	recheck     = 0.02 // s between looks at held requests when nothing else happens
 	paceSlack   = 0.8  // share of the token pace aim that a prediction may use
+	slowSpeed   = 0.5  // speed down to which a writer is loaded that misses the pace even alone,
+	tooSlow     = 1e-3 // and what its room counts: others come first
 	memLimit    = 0.92 // share of a writer's memory that admissions may fill
 	homeFactor  = 2    // a reader that takes this many times as long as the next passes to it,
 	homeSlack   = 0.1  // s beside, and
@@ -670,7 +672,11 @@
 		return 1 / max(1, l)
 	}
 	k := r.curve(e)
-	return 1 - k.c[0]/(paceSlack*aim)/k.speed(l)
+	need := k.c[0] / (paceSlack * aim) // the least speed that keeps the pace
+	if need >= 1 {                     // not even alone: a late answer is worth more than none
+		return tooSlow * (k.speed(l) - slowSpeed)
+	}
+	return 1 - need/k.speed(l)
 }
 
 // room is the room that a writer has for q, and whether the curve and its memory and queue let q in.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1089,3 +1089,27 @@
 		}
 	}
 }
+
+// A writer whose lone pace misses the aim, and which reports load, is still used where there is no other: its answers are
+// late, and all refused would be worse. One that keeps the pace comes first.
+func TestWriterTooSlowForThePaceIsTheLastResort(t *testing.T) {
+	for _, other := range []bool{false, true} {
+		m := Members{Form: ListFull, Engines: []Engine{eng("r0", 0, 0), eng("slow", 1, 0)}}
+		if other {
+			m.Engines = append(m.Engines, eng("w1", 1, 0))
+		}
+		r := start(t, testConfig(), m)
+		rep := &Report{Util: 0.3, Has: HasUtil | HasWaiting | HasMemShare}
+		for _, e := range r.list {
+			if e.role == Write {
+				r.reported(e, rep)
+				e.pace.c[0] = 0.02
+			}
+		}
+		r.engines["slow"].pace.c[0] = 0.1 // 100 ms a token, 60 wanted
+		_, w := read(t, r, 1, ask("a", 0))
+		if want := map[bool]string{false: "slow", true: "w1"}[other]; w != want {
+			t.Errorf("another writer %v: written at %s", other, w)
+		}
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -7,10 +7,8 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"dillroute/brain"
@@ -35,6 +33,7 @@
 
 // Attempt is one attempt at an engine.
 type Attempt struct {
+	protocol.Hold
 	Client    *Client
 	RequestID string // X-Request-Id: names the state at the engines
 	Address   string
@@ -42,11 +41,6 @@
 	Extra     []http1.Field // of the client's, to be passed on
 	Timeout   time.Duration // until the whole reply, or the first token
 
-	mu      sync.Mutex
-	conn    *http1.ClientConn
-	aborted bool
-	written bool // the request is being written, or was
-	cause   ending.Cause
 }
 
 // ErrUnfit is wrapped by a Sink's error when the engine's answer, not the client, is at fault.
@@ -78,77 +72,19 @@
 // StateID names a state at the engines: reads of one request must not be taken for each other.
 func StateID(id string, n int) string { return id + "." + strconv.Itoa(n) }
 
-// Abort ends the attempt, for the cause given, at whatever point it is.
-func (a *Attempt) Abort(cause ending.Cause) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.aborted {
-		a.aborted, a.cause = true, cause
-		if a.conn != nil {
-			a.conn.Close()
-		}
-	}
-}
-
-// Withdraw ends the attempt if no byte of it has been written.
-func (a *Attempt) Withdraw() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.written && !a.aborted {
-		a.aborted, a.cause = true, ending.Overtaken
-	}
-}
-
-// attach gives the connection to Abort, and says that the request is about to be written; false = too late.
-func (a *Attempt) attach(c *http1.ClientConn) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.conn, a.written = c, !a.aborted
-	return !a.aborted
-}
-
-// detach takes the connection back, so that a late Abort cannot close one that others use.
-func (a *Attempt) detach() {
-	a.mu.Lock()
-	a.conn = nil
-	a.mu.Unlock()
-}
-
-func (a *Attempt) stopped() (ending.Cause, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.cause, a.aborted
-}
-
-// failed names the cause of an error: the abort that made it, the time, or the peer.
-func (a *Attempt) failed(err error, timeout ending.Cause) ending.Cause {
-	if cause, ok := a.stopped(); ok {
-		return cause
-	}
-	var t net.Error
-	var malformed *http1.Error
-	switch {
-	case errors.As(err, &t) && t.Timeout():
-		return timeout
-	case errors.As(err, &malformed), errors.Is(err, http1.ErrEventTooLong):
-		return ending.Unreadable
-	}
-	return ending.Broken
-}
-
 // open connects, writes the request and reads the head of the answer. r holds how far it came.
 func (a *Attempt) open(accept string, r *Result) (*http1.ClientConn, *http1.Response) {
 	start := time.Now()
 	r.Facts.Progress = ending.Dialling
 	c, err := a.Client.Pool.Get(a.Address, min(a.Client.Connect, a.Timeout))
 	if err != nil {
-		r.Err, r.Facts.Cause = err, a.failed(err, ending.Broken)
+		r.Err, r.Facts.Cause = err, a.Failed(err, ending.Broken)
 		return nil, nil
 	}
 	r.Facts.Progress = ending.Connected
-	if !a.attach(c) {
+	if !a.Attach(c) {
 		c.Close()
-		r.Facts.Cause, _ = a.stopped()
+		r.Facts.Cause, _ = a.Stopped()
 		return nil, nil
 	}
 	c.SetDeadline(start.Add(a.Timeout))
@@ -168,8 +104,8 @@
 		resp, err = c.ReadResponse()
 	}
 	if err != nil {
-		r.Err, r.Facts.Cause = err, a.failed(err, ending.Expired)
-		a.detach()
+		r.Err, r.Facts.Cause = err, a.Failed(err, ending.Expired)
+		a.Detach()
 		c.Close()
 		return nil, nil
 	}
@@ -232,10 +168,10 @@
 // whole reads a whole answer and files what it says of an error.
 func (a *Attempt) whole(c *http1.ClientConn, resp *http1.Response, r *Result) ([]byte, bool) {
 	body, err := resp.ReadAll(maxReply)
-	a.detach()
+	a.Detach()
 	if err != nil {
 		c.Close()
-		r.Err, r.Facts.Cause = err, a.failed(err, ending.Expired)
+		r.Err, r.Facts.Cause = err, a.Failed(err, ending.Expired)
 		return nil, false
 	}
 	a.Client.Pool.Done(c, resp)
@@ -264,7 +200,7 @@
 		return r
 	}
 	if !strings.HasPrefix(strings.ToLower(resp.Header.Get("Content-Type")), "text/event-stream") {
-		a.detach()
+		a.Detach()
 		c.Close()
 		r.Facts.Cause = ending.Unreadable
 		return r
@@ -273,7 +209,7 @@
 	r.Report = nil // told already; at the end it is old
 	cause, err := a.stream(c, resp, sink, &r)
 	r.Facts.Cause, r.Err = cause, err
-	a.detach()
+	a.Detach()
 	if cause == ending.Answered {
 		r.Facts.Meaning = ending.Done
 		a.Client.Pool.Done(c, resp)
@@ -308,16 +244,16 @@
 		}
 		data, raw, err := events.Next()
 		if err != nil {
-			return a.failed(whole(err), ending.Stalled), err
+			return a.Failed(whole(err), ending.Stalled), err
 		}
 		end, read := front.PassChunk(data)
 		if read {
 			chunk, err := front.ReadChunk(data)
 			if err != nil {
-				return a.failed(&http1.Error{Status: 502, Reason: err.Error()}, ending.Unreadable), err
+				return a.Failed(&http1.Error{Status: 502, Reason: err.Error()}, ending.Unreadable), err
 			}
 			if chunk.Err != nil {
-				return a.failed(nil, ending.Broken), errors.New("engine: error event: " + chunk.Err.Message)
+				return a.Failed(nil, ending.Broken), errors.New("engine: error event: " + chunk.Err.Message)
 			}
 		}
 		if end {
@@ -347,14 +283,14 @@
 	for held := 0; ; {
 		data, raw, err := events.Next()
 		if err != nil {
-			return a.failed(whole(err), ending.Expired), err
+			return a.Failed(whole(err), ending.Expired), err
 		}
 		chunk, err := front.ReadChunk(data)
 		switch {
 		case err != nil:
-			return a.failed(&http1.Error{Status: 502, Reason: err.Error()}, ending.Unreadable), err
+			return a.Failed(&http1.Error{Status: 502, Reason: err.Error()}, ending.Unreadable), err
 		case chunk.Err != nil:
-			return a.failed(nil, ending.Broken), errors.New("engine: error event: " + chunk.Err.Message)
+			return a.Failed(nil, ending.Broken), errors.New("engine: error event: " + chunk.Err.Message)
 		case chunk.Done:
 			return ending.Unreadable, errors.New("engine: a stream without a token")
 		}
@@ -366,7 +302,7 @@
 			continue
 		}
 		if !sink.First() {
-			return a.failed(nil, ending.Broken), nil
+			return a.Failed(nil, ending.Broken), nil
 		}
 		r.Facts.Progress = ending.Streaming
 		for i, e := range early {
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -479,3 +479,51 @@
 	}
 	s.lawful()
 }
+
+// A node that is told to stop still serves on the connections that clients have, while its new ones end, and all that it
+// takes then has ended before it could be killed.
+func TestRelayStopServesKeptConnections(t *testing.T) {
+	s, e := newStage(t, 64, 256, "r0 read", "w0 write")
+	e["w0"].Step = 30 * time.Millisecond
+	c, err := net.Dial("tcp", s.node.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	br := bufio.NewReader(c)
+	ask := func(id string, tokens int) (status int, whole bool) {
+		a := s.ask("chat")
+		a.ID, a.Tokens = id, tokens
+		s.p.Call(id, platform.Op{Name: a.Op, Class: "chat", Tokens: tokens})
+		io.WriteString(c, a.Request())
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return 0, false
+		}
+		body, err := io.ReadAll(resp.Body)
+		if resp.StatusCode != 200 {
+			t.Logf("%s: %s", id, body)
+		}
+		return resp.StatusCode, err == nil
+	}
+	if status, whole := ask("c1", 2); status != 200 || !whole {
+		t.Fatalf("before: %d %v", status, whole)
+	}
+	start := time.Now()
+	s.stopped = true
+	done := make(chan struct{})
+	go func() { defer close(done); s.node.ShutdownBy(relay.StopBy(4), time.Second) }()
+	time.Sleep(time.Second)
+	if status, whole := ask("c2", 2); status != 200 || !whole {
+		t.Errorf("on a kept connection, 1 s after: %d %v", status, whole)
+	}
+	if status, whole := ask("c3", 300); status != 200 || whole { // 9 s: its client gets the rest elsewhere
+		t.Errorf("a long stream: %d %v", status, whole)
+	}
+	if took := time.Since(start); took > 3500*time.Millisecond {
+		t.Errorf("the long stream ended %v after the stop", took)
+	}
+	<-done
+	s.lawful()
+}
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -4,10 +4,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"dillroute/brain"
@@ -71,6 +69,7 @@
 
 // attempt is one attempt at an engine.
 type attempt struct {
+	protocol.Hold
 	engines            *Engines
 	call               protocol.Call
 	id, method, target string
@@ -79,70 +78,6 @@
 	body               []byte
 	x                  *http1.Exchange
 	load               string // the latest load report of a stream
-
-	mu      sync.Mutex
-	conn    *http1.ClientConn
-	aborted bool
-	written bool // the request is being written, or was
-	cause   ending.Cause
-}
-
-// Abort ends the attempt by closing its connection.
-func (a *attempt) Abort(cause ending.Cause) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.aborted {
-		a.aborted, a.cause = true, cause
-		if a.conn != nil {
-			a.conn.Close()
-		}
-	}
-}
-
-// Withdraw ends the attempt if no byte of it has been written.
-func (a *attempt) Withdraw() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.written && !a.aborted {
-		a.aborted, a.cause = true, ending.Overtaken
-	}
-}
-
-// attach gives the connection to Abort, and says that the request is about to be written; false = too late.
-func (a *attempt) attach(c *http1.ClientConn) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.conn, a.written = c, !a.aborted
-	return !a.aborted
-}
-
-// detach takes the connection back, so that a late Abort cannot close one that others use.
-func (a *attempt) detach() {
-	a.mu.Lock()
-	a.conn = nil
-	a.mu.Unlock()
-}
-
-func (a *attempt) stopped() (ending.Cause, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.cause, a.aborted
-}
-
-// failed names the cause of an error: the abort that made it, the time, or the peer.
-func (a *attempt) failed(err error, timeout ending.Cause) ending.Cause {
-	if cause, ok := a.stopped(); ok {
-		return cause
-	}
-	var t net.Error
-	var malformed *http1.Error
-	switch {
-	case errors.As(err, &t) && t.Timeout():
-		return timeout
-	case errors.As(err, &malformed), errors.Is(err, http1.ErrEventTooLong), errors.Is(err, errNoEvent):
-		return ending.Unreadable
-	}
-	return ending.Broken
 }
 
 // Run makes the attempt.
@@ -166,16 +101,16 @@
 	r.Facts.Progress = ending.Dialling
 	c, err := a.engines.get(a.call.Address, a.call.Timeout, a.fresh)
 	if err != nil {
-		r.Err, r.Facts.Cause = err, a.failed(err, ending.Broken)
+		r.Err, r.Facts.Cause = err, a.Failed(err, ending.Broken)
 		if errors.Is(err, http1.ErrNoRoom) || http1.NoFiles(err) {
 			r.Facts.Progress = ending.Unsent
 		}
 		return nil, nil
 	}
 	r.Facts.Progress = ending.Connected
-	if !a.attach(c) {
+	if !a.Attach(c) {
 		c.Close()
-		r.Facts.Cause, _ = a.stopped()
+		r.Facts.Cause, _ = a.Stopped()
 		return nil, nil
 	}
 	c.SetDeadline(until)
@@ -194,11 +129,11 @@
 		resp, err = c.ReadResponse()
 	}
 	if err != nil {
-		r.Err, r.Facts.Cause = err, a.failed(err, ending.Expired)
+		r.Err, r.Facts.Cause = err, a.Failed(err, ending.Expired)
 		if r.Facts.Cause == ending.Broken {
 			a.engines.lost(c)
 		}
-		a.detach()
+		a.Detach()
 		c.Close()
 		return nil, nil
 	}
@@ -224,12 +159,12 @@
 		r.Facts.Meaning = ending.Error
 	}
 	body, err := resp.ReadAll(maxReply)
-	a.detach()
+	a.Detach()
 	if err != nil {
 		c.Close()
 		r.Err = err
 		if r.Facts.Meaning == ending.Read || r.Facts.Meaning == ending.Error {
-			r.Facts.Cause = a.failed(err, ending.Expired)
+			r.Facts.Cause = a.Failed(err, ending.Expired)
 		}
 		return
 	}
@@ -251,7 +186,7 @@
 // stream passes the answer on.
 func (a *attempt) stream(c *http1.ClientConn, resp *http1.Response, h protocol.Host, r *protocol.Result) {
 	r.Facts.Cause, r.Err = a.pass(c, resp, h, r)
-	a.detach()
+	a.Detach()
 	if r.Facts.Cause != ending.Answered {
 		c.Close()
 		return
@@ -282,7 +217,7 @@
 				return ending.Unreadable, errNoEvent
 			}
 			if !h.First() {
-				return a.failed(nil, ending.Broken), nil
+				return a.Failed(nil, ending.Broken), nil
 			}
 			r.Facts.Progress = ending.Streaming
 			if err := a.x.Begin(200, []http1.Field{{Name: "Content-Type", Value: "text/event-stream"}}); err != nil {
@@ -321,7 +256,7 @@
 		if begun {
 			timeout = ending.Stalled
 		}
-		return a.failed(err, timeout), err
+		return a.Failed(err, timeout), err
 	}
 	if !begun {
 		return ending.Unreadable, errNoEvent
