An id once taken is not taken again, the first request having ended or not

Need: a client may use the id of another's request. The book refused it while that one was open; just after its end it would have gone to engines under another body, and a request that must not run twice would have run twice by its id. Changed: decide/intake.Recent, bounded to 8,192 ids, asked by the relay's front.

--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -281,6 +281,12 @@
 	if r := <-got; r.Outcome != record.Served || r.Text != platform.Whole(a.Op, a.Tokens) {
 		t.Errorf("%+v", r)
 	}
+	if status := s.raw(a.Request()); status != 409 {
+		t.Errorf("after the first has ended: status %d", status)
+	}
+	if n := s.count(record.Arrive, a.Op); n != 2 {
+		t.Errorf("%d attempts arrived", n)
+	}
 	s.lawful()
 }
 
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -8,8 +8,10 @@
 	"math"
 	"strconv"
 	"strings"
+	"sync"
 
 	"dillroute/brain"
+	"dillroute/internal/decide/intake"
 	"dillroute/internal/http1"
 	"dillroute/internal/protocol"
 	"dillroute/internal/settings"
@@ -43,6 +45,7 @@
 	maxKey    = 256
 	maxBudget = 3600    // s
 	maxTokens = 1 << 20 // far beyond what a body can hold
+	recentIDs = 8192    // ids remembered: minutes of a node's traffic
 )
 
 // Front is the clients' side. It is safe for concurrent use.
@@ -53,11 +56,15 @@
 	classes map[string]int
 	tenants map[string]int
 	effects []brain.Effect // by class
+
+	mu     sync.Mutex
+	recent *intake.Recent
 }
 
 // NewFront returns a front that makes its attempts by the engines' client given.
 func NewFront(s *settings.Settings, engines *Engines, ready func() bool, log *slog.Logger) *Front {
-	f := &Front{log: log, engines: engines, ready: ready, classes: index(s.Classes), tenants: index(s.Tenants)}
+	f := &Front{log: log, engines: engines, ready: ready, classes: index(s.Classes), tenants: index(s.Tenants),
+		recent: intake.NewRecent(recentIDs)}
 	for _, c := range s.Brain.Classes {
 		f.effects = append(f.effects, c.Effect)
 	}
@@ -112,6 +119,13 @@
 		say(400, err.Error())
 		return
 	}
+	f.mu.Lock()
+	fresh := f.recent.Take(q.ID)
+	f.mu.Unlock()
+	if !fresh {
+		say(409, "the id was taken before")
+		return
+	}
 	f.log.Debug("asked", "request", q.ID, "class", q.Class, "session", q.Session, "budget", q.TimeLeft, "retry", q.Retry,
 		"returned", q.Returned, "prompt", q.PromptLen, "prefix", q.PrefixLen, "most", q.MaxOut)
 	j := &job{front: f, id: q.ID, x: x, method: x.Method, target: x.Target(), body: x.Body,
