--- a/internal/cli/relay.go
+++ b/internal/cli/relay.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"math"
@@ -15,15 +16,14 @@
 	"dillroute/internal/relay"
 )
 
-// memoryShare is the part of the memory limit that the runtime keeps its heap within; the rest is for what it does not
-// count: the program's text, stacks in the kernel and sockets.
-const memoryShare = 0.6
-
 // serveRelay runs a node on the users' platform until SIGTERM or SIGINT.
 func serveRelay(level string, errOut io.Writer) error {
 	signals := make(chan os.Signal, 16) // before all else: a signal that comes early must not end the program
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
+	if new(slog.LevelVar).UnmarshalText([]byte(level)) != nil {
+		return withCode(ExitUsage, fmt.Errorf("--log %s: it is debug, info, warn or error", level))
+	}
 	cfg, err := relay.Load(os.Getenv)
 	if err != nil {
 		return withCode(ExitConfig, err)
@@ -83,6 +83,6 @@
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
 	}
 	if l.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(l.MemoryMB * memoryShare * (1 << 20)))
+		debug.SetMemoryLimit(l.Parts().HeapMost)
 	}
 }
--- a/internal/cli/relay_test.go
+++ b/internal/cli/relay_test.go
@@ -152,3 +152,21 @@
 		}
 	}
 }
+
+func TestServeRelayTellsWhatIsWrong(t *testing.T) {
+	t.Setenv("RELAY_CONFIG", filepath.Join(t.TempDir(), "none.json"))
+	for _, c := range []struct {
+		args []string
+		code int
+		says string
+	}{
+		{[]string{"serve", "--relay"}, ExitConfig, "none.json"},
+		{[]string{"serve", "--relay", "--config", "x"}, ExitUsage, "--config"},
+		{[]string{"serve", "--relay", "--log", "loud"}, ExitUsage, "debug, info, warn or error"},
+	} {
+		var out, errOut bytes.Buffer
+		if code := Run(c.args, &out, &errOut); code != c.code || !bytes.Contains(errOut.Bytes(), []byte(c.says)) {
+			t.Errorf("%v: code %d, %q", c.args, code, errOut.String())
+		}
+	}
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -39,6 +39,9 @@
 		Example: "  dillroute serve --config examples/node.json\n  dillroute serve --config examples/node.json --takeover 1m\n  dillroute serve --relay",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if platform && (file != "" || takeover > 0) {
+				return withCode(ExitUsage, fmt.Errorf("--relay takes its configuration from the platform: --config and --takeover do not go with it"))
+			}
 			if platform {
 				return serveRelay(level, cmd.ErrOrStderr())
 			}
--- a/internal/decide/believe/ask.go
+++ b/internal/decide/believe/ask.go
@@ -18,6 +18,12 @@
 	return &Asker{Least: 0.25, Most: 20, PerS: 2, Burst: 4, Draw: draw}
 }
 
+// NewWatcher returns one for a source that is the node's own (an agent on its machine): it need not be spared by chance
+// over seconds, and a watch goes on only if its next call comes within 0.2 s.
+func NewWatcher(draw func() float64) *Asker {
+	return &Asker{Least: 0.05, Most: 1, PerS: 10, Burst: 20, Draw: draw}
+}
+
 // Start returns when the first call may be made: nodes that start together do not ask together.
 func (a *Asker) Start(now float64) float64 { return a.spend(now + a.Least*a.Draw()) }
 
--- a/internal/decide/believe/told_test.go
+++ b/internal/decide/believe/told_test.go
@@ -110,3 +110,21 @@
 		t.Fatalf("%d engines are remembered of a day of replacements", len(told.known))
 	}
 }
+
+// A source that does not hold its answers is not asked without end, and a watch on it still goes on.
+func TestWatcherGoesOnWithinItsBudget(t *testing.T) {
+	a, now, calls := NewWatcher(func() float64 { return 0.5 }), 100.0, 0
+	for end := now + 10; now < end; calls++ {
+		at := a.After(now, true)
+		if at > now+0.2 {
+			t.Fatalf("the watch ends: the next call comes after %g s", at-now)
+		}
+		now = at
+	}
+	if calls > 130 {
+		t.Fatalf("%d calls in 10 s", calls)
+	}
+	if at := a.After(now, false); at > now+1.2 {
+		t.Fatalf("%g s after a failure", at-now)
+	}
+}
--- a/internal/decide/letgo/letgo.go
+++ b/internal/decide/letgo/letgo.go
@@ -9,6 +9,7 @@
 type Plan struct {
 	By    float64 // the latest time at which it may still be held
 	Tries int     // calls made so far
+	Any   bool    // any engine lets go of what any holds: another one is asked next, so there is nothing to wait for
 }
 
 // Outcome is what a call came to.
@@ -33,6 +34,9 @@
 	if o == Answered || p.Tries >= mostTries || now >= p.By {
 		return 0, false
 	}
+	if p.Any {
+		return now, true
+	}
 	wait := firstWait
 	for range p.Tries - 1 {
 		wait *= growth
--- a/internal/decide/letgo/letgo_test.go
+++ b/internal/decide/letgo/letgo_test.go
@@ -68,3 +68,16 @@
 		t.Error("only what was cut waits")
 	}
 }
+
+func TestAnotherEngineIsAskedAtOnce(t *testing.T) {
+	p := Plan{By: 11, Any: true}
+	if at, again := p.Next(10, Lost); !again || at != 10 {
+		t.Errorf("again %v at %g", again, at)
+	}
+	if _, again := p.Next(11, Lost); again {
+		t.Error("asked again when its time was up")
+	}
+	if _, again := p.Next(10, Answered); again {
+		t.Error("asked again after an answer")
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -81,35 +81,18 @@
 		r.Err, r.Facts.Cause = err, a.Failed(err, ending.Broken)
 		return nil, nil
 	}
-	r.Facts.Progress = ending.Connected
-	if !a.Attach(c) {
-		c.Close()
-		r.Facts.Cause, _ = a.Stopped()
-		return nil, nil
-	}
-	c.SetDeadline(start.Add(a.Timeout))
 	fields := []http1.Field{{Name: "Content-Type", Value: "application/json"}, {Name: "Accept", Value: accept},
 		{Name: "X-Request-Id", Value: a.RequestID}, {Name: "Via", Value: "1.1 " + a.Client.Node},
 		{Name: "Endpoint-Load-Metrics-Format", Value: "JSON"}}
 	if a.Client.Key != "" {
 		fields = append(fields, http1.Field{Name: "Authorization", Value: "Bearer " + a.Client.Key})
 	}
-	sent, all, err := c.Send("POST", "/v1/chat/completions", append(fields, a.Extra...), a.Body)
+	resp := a.Exchange(c, start.Add(a.Timeout), "POST", "/v1/chat/completions", append(fields, a.Extra...), a.Body, &r.Result)
 	a.Body = nil // a long stream need not hold it
-	if sent == all {
-		r.Facts.Progress = ending.Written
-	}
-	var resp *http1.Response
-	if err == nil {
-		resp, err = c.ReadResponse()
-	}
-	if err != nil {
-		r.Err, r.Facts.Cause = err, a.Failed(err, ending.Expired)
-		a.Detach()
-		c.Close()
+	if resp == nil {
 		return nil, nil
 	}
-	r.Facts.Progress, r.HTTP = ending.Headed, resp.Status
+	r.HTTP = resp.Status
 	r.Report = parseLoad(resp.Header)
 	return c, resp
 }
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -122,7 +122,7 @@
 
 // release has a state let go of, by the engine that may hold it, or where any engine can, by whichever answers.
 func (n *Node) release(now float64, cmd ledger.Release) {
-	plan := letgo.Plan{By: now + n.plan.letGoBy}
+	plan := letgo.Plan{By: now + n.plan.letGoBy, Any: n.plan.anyone}
 	n.releasing++
 	n.core.wheel.Add(letgo.Ready(now, cmd.Cut && n.plan.anyone), func(now float64) { n.releaseBy(now, cmd, plan) })
 }
@@ -155,9 +155,6 @@
 				n.contacts[engine] = k
 			}
 			if at, again := plan.Next(now, o); again {
-				if n.plan.anyone {
-					at = now // another engine is asked, so there is nothing to wait for
-				}
 				n.core.wheel.Add(at, func(now float64) { n.releaseBy(now, cmd, plan) })
 			} else {
 				n.releasing--
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	engines := relay.NewEngines(cfg.Settings, relay.EngineConns(cfg.Limits))
+	engines := relay.NewEngines(cfg.Settings, cfg.Limits.Parts().Engines)
 	n.front, n.caller = relay.NewFront(cfg.Settings, engines, n.Ready, o.log), engines
 	l := o.listener
 	if l == nil {
@@ -46,14 +46,14 @@
 
 // relayPlan is the host's part of the configuration.
 func relayPlan(cfg *relay.Config) plan {
-	s, sizes := cfg.Settings, relay.Size(cfg.Limits)
+	s, parts := cfg.Settings, cfg.Limits.Parts()
 	rules := s.Brain.Rules
-	return plan{brain: s.Brain, tick: s.Brain.Tick, letGoBy: rules.LetGoBy, held: sizes.Bytes, anyone: true, resume: s.Resume,
-		book: ledger.Config{Classes: s.Brain.Classes, MaxOpen: sizes.Requests, MaxAttempts: s.Brain.Limits.MaxAttempts,
+	return plan{brain: s.Brain, tick: s.Brain.Tick, letGoBy: rules.LetGoBy, held: parts.Bytes, anyone: true, resume: s.Resume,
+		book: ledger.Config{Classes: s.Brain.Classes, MaxOpen: parts.Clients, MaxAttempts: s.Brain.Limits.MaxAttempts,
 			Slack: rules.AnswerSlack + relay.Slack.Seconds()/2, DrainGrace: rules.DrainGrace, ReleaseAll: true},
-		strain: strain.Limits{Files: cfg.Limits.Sockets, Connections: sizes.Clients, Bytes: sizes.Bytes,
+		strain: strain.Limits{Files: cfg.Limits.Sockets, Connections: parts.Clients, Bytes: parts.Bytes,
 			Slack: rules.AnswerSlack + relay.Slack.Seconds()/2},
-		times: relay.Times, limits: relay.RequestLimits, lobby: sizes.Lobby}
+		times: relay.Times, limits: relay.RequestLimits, lobby: parts.Lobby}
 }
 
 // LongestStop is how long a stop may wait for answers that run.
--- a/internal/protocol/hold.go
+++ b/internal/protocol/hold.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"dillroute/internal/decide/ending"
 	"dillroute/internal/http1"
@@ -79,3 +80,31 @@
 	}
 	return ending.Broken
 }
+
+// Exchange writes a request on a connection and reads the head of its answer, all by the time given. nil = it ended before
+// that: r says how far it came and why, and the connection is closed.
+func (h *Hold) Exchange(c *http1.ClientConn, until time.Time, method, target string, fields []http1.Field, body []byte, r *Result) *http1.Response {
+	r.Facts.Progress = ending.Connected
+	if !h.Attach(c) {
+		c.Close()
+		r.Facts.Cause, _ = h.Stopped()
+		return nil
+	}
+	c.SetDeadline(until)
+	sent, all, err := c.Send(method, target, fields, body)
+	if sent == all {
+		r.Facts.Progress = ending.Written
+	}
+	var resp *http1.Response
+	if err == nil {
+		resp, err = c.ReadResponse()
+	}
+	if err != nil {
+		r.Err, r.Facts.Cause = err, h.Failed(err, ending.Expired)
+		h.Detach()
+		c.Close()
+		return nil
+	}
+	r.Facts.Progress = ending.Headed
+	return resp
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 
+	"dillroute/internal/decide/strain"
 	"dillroute/internal/settings"
 )
 
@@ -27,6 +28,9 @@
 	Sockets  int     `json:"sockets"`
 }
 
+// Parts divides the limits.
+func (l Limits) Parts() strain.Parts { return strain.Divide(l.Sockets, int64(l.MemoryMB*(1<<20))) }
+
 // file mirrors the configuration file.
 type file struct {
 	Name      string          `json:"name"`
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -40,11 +40,7 @@
 	holdFor  = 20 * time.Second        // that a watch may wait
 	holdOver = 1500 * time.Millisecond // that its answer may be late by
 	listFor  = 2 * time.Second         // that the whole list may take
-	firstGap = 50 * time.Millisecond   // between tries,
-	mostGap  = time.Second             // growing up to this
 	maxList  = 4 << 20                 // bytes of an answer
-	soon     = 50 * time.Millisecond   // an answer without news that came sooner was not held;
-	pause    = 100 * time.Millisecond  // the next call waits so long, which still counts as the same watch
 )
 
 // Discovery follows the list of engines.
@@ -147,14 +143,13 @@
 	}()
 	pool := &http1.Pool{MaxIdle: 1, Limits: http1.Limits{Line: 1 << 10, Header: 8 << 10, Headers: 64, Body: maxList}}
 	defer pool.Close()
-	gap := firstGap
+	asker := believe.NewWatcher(rand.Float64)
 	for {
-		err := d.session(w, pool, func() {
+		err := d.session(w, pool, asker, func() {
 			if before != nil {
 				before.end()
 				before = nil
 			}
-			gap = firstGap
 		})
 		select {
 		case <-w.stop:
@@ -162,17 +157,32 @@
 		default:
 		}
 		d.log.Info("discovery", "address", w.addr, "error", err.Error())
-		select {
-		case <-w.stop:
+		if !w.until(asker.After(unix(), false)) {
 			return
-		case <-time.After(time.Duration((0.5 + rand.Float64()/2) * float64(gap))):
 		}
-		gap = min(2*gap, mostGap)
+	}
+}
+
+func unix() float64 { return float64(time.Now().UnixNano()) / 1e9 }
+
+// until waits for a time (Unix s); false = the watch has ended.
+func (w *watch) until(at float64) bool {
+	wait := seconds(at - unix())
+	if wait <= 0 {
+		return true
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-w.stop:
+		return false
+	case <-t.C:
+		return true
 	}
 }
 
 // session asks for the whole list and then for changes, on one connection, until that fails. heard is told of each answer.
-func (d *Discovery) session(w *watch, pool *http1.Pool, heard func()) error {
+func (d *Discovery) session(w *watch, pool *http1.Pool, asker *believe.Asker, heard func()) error {
 	c, err := pool.Get(w.addr, listFor)
 	if err != nil {
 		return err
@@ -188,20 +198,15 @@
 			target = pathList + "?from=" + strconv.FormatInt(version, 10) + "&hold_ms=" + strconv.FormatInt(holdFor.Milliseconds(), 10)
 			wait = holdFor + holdOver
 		}
-		asked := time.Now()
-		c.SetDeadline(asked.Add(wait))
+		c.SetDeadline(time.Now().Add(wait))
 		a, err := ask(c, target)
 		if err != nil {
 			return err
 		}
-		changed := false
-		version, going, changed = d.hear(a, false)
+		version, going = d.hear(a, false)
 		heard()
-		if !changed && going && time.Since(asked) < soon {
-			select { // a source that does not hold its answers is not asked without end
-			case <-w.stop:
-			case <-time.After(pause):
-			}
+		if !w.until(asker.After(unix(), true)) {
+			return fmt.Errorf("stopped")
 		}
 	}
 }
@@ -242,9 +247,8 @@
 	return &a, nil
 }
 
-// hear files an answer and hands on what it changes. It returns the version to go on from, if the whole list is not wanted,
-// and whether there was news.
-func (d *Discovery) hear(a *answer, known bool) (version int64, ok, changed bool) {
+// hear files an answer and hands on what it changes. It returns the version to go on from, if the whole list is not wanted.
+func (d *Discovery) hear(a *answer, known bool) (version int64, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var words []believe.Word
@@ -264,13 +268,11 @@
 		}
 		words = append(words, w)
 	}
-	now := float64(time.Now().UnixNano()) / 1e9
-	changes := d.told.Hear(now, a.Version, a.Full, words)
+	changes := d.told.Hear(unix(), a.Version, a.Full, words)
 	if len(changes) > 0 {
 		d.take(list(changes, known))
 	}
-	version, ok = d.told.Version()
-	return version, ok, len(changes) > 0
+	return d.told.Version()
 }
 
 // list turns changes into what the host takes.
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -107,37 +107,19 @@
 		}
 		return nil, nil
 	}
-	r.Facts.Progress = ending.Connected
-	if !a.Attach(c) {
-		c.Close()
-		r.Facts.Cause, _ = a.Stopped()
-		return nil, nil
-	}
-	c.SetDeadline(until)
 	fields := []http1.Field{{Name: headID, Value: a.id},
 		{Name: headBudget, Value: strconv.FormatFloat(max(0.001, time.Until(until).Seconds()), 'f', 3, 64)}}
 	if a.kind != "" {
 		fields = append(fields, http1.Field{Name: "Content-Type", Value: a.kind})
 	}
-	sent, all, err := c.Send(a.method, a.target, fields, a.body)
+	resp := a.Exchange(c, until, a.method, a.target, fields, a.body, r)
 	a.body = nil // a long stream need not hold it
-	if sent == all {
-		r.Facts.Progress = ending.Written
-	}
-	var resp *http1.Response
-	if err == nil {
-		resp, err = c.ReadResponse()
-	}
-	if err != nil {
-		r.Err, r.Facts.Cause = err, a.Failed(err, ending.Expired)
+	if resp == nil {
 		if r.Facts.Cause == ending.Broken {
 			a.engines.lost(c)
 		}
-		a.Detach()
-		c.Close()
 		return nil, nil
 	}
-	r.Facts.Progress = ending.Headed
 	r.Report = parseLoad(resp.Header.Get(headLoad))
 	return c, resp
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -49,19 +49,6 @@
 	}
 }
 
-// The parts of the limits never come to more than the whole, at the smallest ones too.
-func TestSizesFitTheLimits(t *testing.T) {
-	for _, sockets := range []int{64, 256, 512, 768, 1024, 4096} {
-		s := Size(Limits{Sockets: sockets, MemoryMB: 32})
-		if used := s.Clients + s.Lobby + s.Engines; used > sockets-sockets/20 {
-			t.Errorf("%d of %d descriptors", used, sockets)
-		}
-		if s.Clients < sockets/3 || s.Bytes > 32<<20/4 {
-			t.Errorf("%+v", s)
-		}
-	}
-}
-
 func TestWordsSayWhatTheyMay(t *testing.T) {
 	j := &job{}
 	for _, c := range []struct {
--- a/internal/relay/sizes.go
+++ b/internal/relay/sizes.go
@@ -35,31 +35,3 @@
 
 // RequestLimits bound a client's message: a body holds at most 256 KiB.
 var RequestLimits = http1.Limits{Line: 4 << 10, Header: 16 << 10, Headers: 64, Body: 256 << 10}
-
-// Sizes are the parts of a node's limits that go to each of its concerns.
-type Sizes struct {
-	Clients  int   // connections of clients
-	Lobby    int   // further ones that are being refused
-	Engines  int   // connections to engines
-	Requests int   // open at once
-	Bytes    int64 // of requests' bodies
-}
-
-// Size divides the limits. Of the descriptors two fifths are for clients and nearly half for engines; what is left is for
-// the listener, discovery, the lobby and the runtime.
-func Size(l Limits) Sizes {
-	sockets, memory := l.Sockets, l.MemoryMB
-	if sockets <= 0 {
-		sockets = 1024
-	}
-	if memory <= 0 {
-		memory = 256
-	}
-	s := Sizes{Clients: sockets * 2 / 5, Lobby: max(4, sockets/16), Engines: sockets * 9 / 20}
-	s.Requests = s.Clients
-	s.Bytes = int64(memory * (1 << 20) / 6)
-	return s
-}
-
-// EngineConns is how many connections to engines there may be.
-func EngineConns(l Limits) int { return Size(l).Engines }
