Discovery: a change is heard within 6 s whatever became of the calls

Cause: a watch held for 20 s and given up after 21.5 s cannot tell silence from no news inside the 6 s after which a change counts as told; a call that was silent on a new connection took 2 s more. Bytes of a list have only to keep coming.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -296,6 +296,12 @@
 	return nil, bad(502, "interim answers without end")
 }
 
+// Await waits for the first byte of an answer.
+func (c *ClientConn) Await() error {
+	_, err := c.br.Peek(1)
+	return err
+}
+
 // interim is how many answers of status 1xx may stand before the one that counts.
 const interim = 16
 
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -35,17 +37,16 @@
 	Started float64 `json:"started_ms"`
 }
 
-// Times of the watch.
-const (
-	holdFor  = 20 * time.Second        // that a watch may wait
-	holdOver = 1500 * time.Millisecond // that its answer may be late by
-	listFor  = 2 * time.Second         // that the whole list may take
-	maxList  = 4 << 20                 // bytes of an answer
-)
+// toldAfter is when a change counts as told, whatever our calls came to (the standing test's terms), in seconds.
+const toldAfter = 6
+
+// maxList bounds an answer, in bytes.
+const maxList = 4 << 20
 
 // Discovery follows the list of engines.
 type Discovery struct {
 	log   *slog.Logger
+	times believe.Watching
 	kinds map[string]int
 	zones map[string]int
 	roles []brain.Kind
@@ -58,10 +59,14 @@
 	closed bool
 }
 
-// watch is one address that is followed.
+// watch is one address that is followed. Where it goes on from is its own: another address may count versions anew.
 type watch struct {
 	addr string
 	stop chan struct{}
+
+	version int64 // that its changes are asked from, once it has told a whole list; of its own goroutine
+	going   bool
+
 	mu   sync.Mutex
 	conn *http1.ClientConn
 	quit bool
@@ -69,7 +74,11 @@
 
 // Follow starts following discovery at an address, from what was known before (may be empty).
 func Follow(addr string, known []byte, s *settings.Settings, take func(protocol.List), log *slog.Logger) *Discovery {
-	d := &Discovery{log: log, kinds: index(s.Kinds), zones: index(s.Zones), roles: s.Brain.Kinds, take: take,
+	return follow(addr, known, s, believe.NewWatching(toldAfter), take, log)
+}
+
+func follow(addr string, known []byte, s *settings.Settings, times believe.Watching, take func(protocol.List), log *slog.Logger) *Discovery {
+	d := &Discovery{log: log, times: times, kinds: index(s.Kinds), zones: index(s.Zones), roles: s.Brain.Kinds, take: take,
 		told: newTold()}
 	var a answer
 	if len(known) > 0 {
@@ -181,45 +190,55 @@
 	}
 }
 
-// session asks for the whole list and then for changes, on one connection, until that fails. heard is told of each answer.
+// session asks for what is wanted on one connection until that fails. heard is told of each answer. A list that has been
+// heard whole here is gone on from by its changes, on a new connection too: they are less to send.
 func (d *Discovery) session(w *watch, pool *http1.Pool, asker *believe.Asker, heard func()) error {
-	c, err := pool.Get(w.addr, listFor)
+	c, err := pool.Get(w.addr, seconds(d.times.First))
 	if err != nil {
 		return err
 	}
 	defer c.Close()
 	if !w.hold(c) {
-		return fmt.Errorf("stopped")
+		return errStopped
 	}
-	version, going := int64(0), false
-	for {
-		target, wait := pathList, listFor
-		if going {
-			target = pathList + "?from=" + strconv.FormatInt(version, 10) + "&hold_ms=" + strconv.FormatInt(holdFor.Milliseconds(), 10)
-			wait = holdFor + holdOver
+	for hold := 1e-3; ; hold = d.times.Hold { // the first call on a connection waits for nothing: its silence is told at once
+		target, by := pathList, unix()+d.times.First
+		if w.going {
+			target = pathList + "?from=" + strconv.FormatInt(w.version, 10) + "&hold_ms=" + strconv.FormatInt(seconds(hold).Milliseconds(), 10)
+			by = d.times.Silent(unix(), hold)
 		}
-		c.SetDeadline(time.Now().Add(wait))
-		a, err := ask(c, target)
+		a, err := d.ask(c, target, by)
 		if err != nil {
 			return err
 		}
-		version, going = d.hear(a, false)
+		w.version, w.going = d.hear(a, false)
 		heard()
 		if !w.until(asker.After(unix(), true)) {
-			return fmt.Errorf("stopped")
+			return errStopped
 		}
 	}
 }
 
-// ask makes one call.
-func ask(c *http1.ClientConn, target string) (*answer, error) {
+// errStopped tells that a watch has been ended by us.
+var errStopped = errors.New("stopped")
+
+// ask makes one call. The first byte of its answer must come by the time given (Unix s); from there its bytes have to keep
+// coming: lists may come in pieces as small as one byte.
+func (d *Discovery) ask(c *http1.ClientConn, target string, by float64) (*answer, error) {
+	c.SetDeadline(time.Unix(0, int64(by*1e9)))
 	if _, _, err := c.Send("GET", target, nil, nil); err != nil {
 		return nil, err
 	}
+	if err := c.Await(); err != nil {
+		return nil, err
+	}
+	end := time.Now().Add(seconds(d.times.Whole))
+	c.SetDeadline(end)
 	resp, err := c.ReadResponse()
 	if err != nil {
 		return nil, err
 	}
+	resp.Body = &steady{c: c, r: resp.Body, idle: seconds(d.times.Idle), end: end}
 	body, err := resp.ReadAll(maxList)
 	if err != nil {
 		return nil, err
@@ -230,6 +249,23 @@
 	return readList(body)
 }
 
+// steady reads a body whose bytes must not pause for longer than idle, nor go on after end.
+type steady struct {
+	c    *http1.ClientConn
+	r    io.Reader
+	idle time.Duration
+	end  time.Time
+}
+
+func (s *steady) Read(p []byte) (int, error) {
+	by := time.Now().Add(s.idle)
+	if by.After(s.end) {
+		by = s.end
+	}
+	s.c.SetDeadline(by)
+	return s.r.Read(p)
+}
+
 // readList reads an answer; an entry that cannot be spoils it.
 func readList(body []byte) (*answer, error) {
 	var a answer
