Cold engines get an even share of their guessed capacity, by turns spread over the nodes

Change: coldRoom takes the larger of that and an even share (Balancers) of half the capacity guessed from the kind's curve and reads; a fraction of a send is a turn spread over the nodes' numbers by the golden ratio, so the turns of a window add up to the sum of the parts, and none in the window in which the start was heard.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -62,6 +62,7 @@
 	roomyUtil   = 0.9  // share of its slots in use below which an engine has room
 	holdShare   = 0.5  // share of let_go_by for which a read state may wait for a writer
 	coldSafety  = 0.8  // share of the cold budget that we use; load, not capacity, is what we measure
+	coldGuess   = 0.5  // part that is believed of the capacity guessed for a kind
 	rateWindow  = 10.0 // s over which send and arrival rates are averaged
 	reportLag   = 0.2  // s by which a load report is taken to be late
 	reportFresh = 5.0  // s after which a report says little more of its engine than its kind's mean does
@@ -120,11 +121,12 @@
 		seen[n.ID] = true
 		e := r.engines[n.ID]
 		if e == nil {
-			e = &engine{}
+			e = &engine{since: r.now}
 			r.engines[n.ID] = e
 			r.list = append(r.list, e)
 		} else if n.State == Ready && n.BootTime > e.BootTime { // came back empty and cold
-			*e = engine{reads: e.reads, jobs: e.jobs, pushes: e.pushes, hit: gauge{n: 1, at: r.now}}
+			old, none := *e, gauge{n: 1, at: r.now}
+			*e = engine{since: r.now, reads: old.reads, jobs: old.jobs, pushes: old.pushes, hit: none}
 		}
 		e.Engine, e.role, e.mem = n, r.cfg.Kinds[n.Kind].Role, r.cfg.Kinds[n.Kind].Memory
 	}
@@ -169,6 +171,8 @@
 	x.add(r.now, 1, shareWindow)
 	r.prefixes[ev.Prefix] = x
 	r.classes[ev.Class].prompt.add(r.now, ev.PromptLen, 0.05)
+	r.meanPrompt.add(r.now, ev.PromptLen, 0.05)
+	r.meanAnswer.add(r.now, r.answerTokens(q), 0.05)
 }
 
 // answerTokens guesses an answer's length: the hint, else the class's mean part of the most allowed (see
@@ -541,27 +545,45 @@
 	return r.answerTokens(q) + 0.1*r.classes[q.Class].prompt.v
 }
 
-// coldRoom tells whether one more send keeps a cold engine within our part of its budget (rule 4), by what
-// warm ones of its role get done. A fraction of a send is drawn anew for each window, so that all routers'
-// parts add up. After our own start we wait a window, as others of our sends may be in it.
+// coldRoom tells whether one more send keeps a cold engine within our part of its budget (rule 4): by what
+// warm ones of its role get done for us or, as those may be gone, by an even share of what its kind should
+// bear. A fraction of a send is a turn: spread over routers' numbers, as many have one as parts add up to,
+// none in the window in which it was heard of. After our own start we wait one: sends of ours may be in it.
 func (r *Router) coldRoom(q *request, e *engine) bool {
 	if cold := r.cold(e); !cold || r.now < r.started+r.cfg.Rules.TipAfter {
 		return !cold
 	}
-	u, used := &r.cfg.Rules, 0.0
+	u, w, used := &r.cfg.Rules, r.weight(q, e.role), 0.0
 	e.pushes, used = since(e.pushes, r.now-u.TipAfter)
 	for _, x := range e.jobs {
 		if x != q && (x.stage == reading || x.stage == parsed) { // admitted, still to be sent
 			used += r.weight(x, e.role)
 		}
 	}
-	w := r.weight(q, e.role)
 	engines := max(1, r.warm(e.role), r.most[e.role]/2) // where most are cold, a few warm ones are no measure
-	mean := r.borne[e.role].get(r.now, rateWindow) / float64(engines)
-	part := coldSafety * u.FallMultiple * u.ColdShare * u.TipAfter * mean / w
-	turn := math.Floor(r.now/u.TipAfter + float64(r.cfg.Rank)/float64(r.cfg.Balancers))
-	part = math.Floor(part + rank(fmt.Sprint(r.cfg.Rank, turn), e.ID))
-	return used+w <= part*w
+	mean := r.borne[e.role].get(r.now, rateWindow) / float64(engines) / w
+	mean = max(mean, coldGuess/r.cost(e)/float64(r.cfg.Balancers))
+	phase := float64(r.cfg.Rank) / float64(r.cfg.Balancers)
+	turn := math.Floor(r.now/u.TipAfter + phase)
+	_, at := math.Modf(rank(fmt.Sprint(turn), e.ID) + float64(r.cfg.Rank)*math.Phi)
+	if (turn-phase)*u.TipAfter < e.since {
+		at = 0
+	}
+	return used+w <= w*math.Floor(coldSafety*u.FallMultiple*u.ColdShare*u.TipAfter*mean+at)
+}
+
+// cost is how long a request of mean work keeps an engine busy, guessed from its kind's curve and reads, and
+// no shorter than by what is taken before any were seen.
+func (r *Router) cost(e *engine) (s float64) {
+	k, prompt, answer := &r.kinds[e.Kind], r.meanPrompt.v+overhead, r.meanAnswer.v
+	if e.role != Write {
+		s = prompt * max(firstSpt, k.read.slope(firstSpt, linePrior))
+	}
+	if e.role != Read {
+		l := max(1, min(perUtil/2, memLimit*cmp.Or(e.mem, math.Inf(1))/(prompt+answer)))
+		s += answer * max(firstPace, k.pace.c[0]/k.pace.speed(l)) / l
+	}
+	return s
 }
 
 // keptAt guesses how much of a prompt a reader has kept.
@@ -595,9 +617,6 @@
 
 func (r *Router) backlog(e *engine) float64 { return max(0, r.wait(e)+ahead(e)*r.spt(e)) }
 
-// way groups the moves that share a fate: those out of one cell to one zone.
-func way(from, to *engine) linkKey { return linkKey{from.Cell, to.Zone} }
-
 // moveTime predicts the move of a state beyond what a writer's lag holds: only the link of the reader's
 // cell counts, with what we have on it.
 func (r *Router) moveTime(q *request, from, to *engine) float64 {
@@ -977,9 +996,6 @@
 	return best != nil
 }
 
-// unread tells of a request that a writer has to read itself.
-func unread(q *request) bool { return q.stage == writing && !q.hasHold }
-
 // placeParsed sends a waiting state to the admitted writer, or to another that passes, or lets go of it in
 // good time (rule 5).
 func (r *Router) placeParsed(q *request) {
--- a/brain/state.go
+++ b/brain/state.go
@@ -70,6 +70,7 @@
 type engine struct {
 	Engine
 	role           Role
+	since          float64 // when this start of it was heard of
 	mem            float64
 	reads, jobs    []*request // our reads out; our requests admitted or streaming
 	wait, lag, hit gauge      // s that a read waits; s from send to first token; part of a beginning found kept
@@ -137,6 +138,8 @@
 	most            [3]int   // engines of each role that were ready at once
 	spread          [3]gauge // by role: s by which attempts' times missed our predictions
 	arrivals, asked rate
+	meanPrompt      gauge // tokens of the requests that came
+	meanAnswer      gauge // and of their answers, as guessed
 	prefixes        map[string]rate
 	timerAt         float64
 	timers          int64
@@ -399,6 +402,9 @@
 	}
 }
 
+// unread tells of a request that a writer has to read itself.
+func unread(q *request) bool { return q.stage == writing && !q.hasHold }
+
 // at is the engine of a request's attempt out.
 func (q *request) at() *engine {
 	if q.stage == reading {
@@ -431,9 +437,9 @@
 	return n
 }
 
-// link returns what we know of a way.
+// link returns what we know of a way. Moves out of one cell to one zone share a fate.
 func (r *Router) link(from, to *engine) *link {
-	k := way(from, to)
+	k := linkKey{from.Cell, to.Zone}
 	if r.links[k] == nil {
 		r.links[k] = &link{}
 	}
