A read state is let go of in time while connections to writers fail to come up

The module took each failed dial as an outcome from which the time runs anew; on sockets it keeps running while connections fail to come up. Change: an attempt that never connected leaves the time as it was, and past half of it the state is let go of though writers are left.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -227,7 +227,7 @@
 	if ev.Status == Parsed {
 		q.overtake(e.reads, reading)
 	}
-	q.out, q.stage, q.holdSince, e.reads = -1, held, r.now, without(e.reads, q)
+	q.out, q.stage, q.holdSince, e.reads = -1, held, q.heldFrom(r.now, ev.Status), without(e.reads, q)
 	if q.far > 0 {
 		r.link(q.reader, e).out, q.far = r.link(q.reader, e).out-q.far, 0
 	}
@@ -1004,10 +1004,10 @@
 		r.now < w.fullTill {
 		w = r.bestWriter(q, q.reader, math.Inf(1), q.low)
 	}
-	if w != nil {
-		r.sendWrite(q, w, 0)
-	} else if r.now >= q.holdSince+holdShare*r.cfg.Rules.LetGoBy {
+	if r.now >= q.holdSince+holdShare*r.cfg.Rules.LetGoBy {
 		r.letGo(q)
+	} else if w != nil {
+		r.sendWrite(q, w, 0)
 	}
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -544,6 +544,31 @@
 	t.Fatal("the state was not released in time")
 }
 
+// While connections fail to come up, the time for which a state is held keeps running: the last try begins so early that it
+// ends within the rule, and then the state is let go of though writers are left to be tried.
+func TestStateIsReleasedInTimeWhileConnectionsFail(t *testing.T) {
+	m := Members{Form: ListFull, Engines: []Engine{eng("r0", 0, 0)}}
+	for i := range 8 {
+		m.Engines = append(m.Engines, eng(fmt.Sprint("w", i), 1, 0))
+	}
+	cfg := testConfig()
+	cfg.Limits.MaxAttempts = 9
+	r := start(t, cfg, m)
+	read := one[Send](t, r.Step(1, []Event{ask("a", 1)}))
+	acts, parsed, n := r.Step(1.1, []Event{Outcome{ID: "a", Engine: read.Engine, Status: Parsed, Spent: 0.1}}), 1.1, 1
+	for now := parsed; now < parsed+cfg.Rules.LetGoBy; n++ {
+		s := of[Send](acts)
+		if len(s) == 0 || len(of[Release](acts)) > 0 {
+			break
+		}
+		now += 0.25 // the time to connect
+		acts = r.Step(now, []Event{Outcome{ID: "a", Attempt: n, Engine: s[0].Engine, Status: NoConnection, Spent: 0.25}})
+	}
+	if len(of[Release](acts)) != 1 || r.now > parsed+0.8*cfg.Rules.LetGoBy || n < 3 {
+		t.Fatalf("%.2f s after the read, after %d attempts: %v", r.now-parsed, n, acts)
+	}
+}
+
 func TestGoneReleasesTheStateOfAReadStillOut(t *testing.T) {
 	r := start(t, testConfig(), fleet())
 	s := one[Send](t, r.Step(1, []Event{ask("a", 0)}))
--- a/brain/state.go
+++ b/brain/state.go
@@ -393,6 +393,15 @@
 	return slices.DeleteFunc(xs, func(e *engine) bool { return e == q.failed })
 }
 
+// heldFrom is since when a state counts as held, after an attempt to take it has ended: while connections fail to come up, the
+// time keeps running.
+func (q *request) heldFrom(now float64, s Status) float64 {
+	if q.hasHold && (s == NoConnection || s == NotSent) {
+		return q.holdSince
+	}
+	return now
+}
+
 // overtake counts those of xs, at the same stage, that were sent before q and are still unanswered when q is.
 func (q *request) overtake(xs []*request, s stage) {
 	for _, x := range xs {
