Discovery: a call is out at any time, so that a return from an outage is heard at once

Change: when the call that leads is silent another one leads on a new connection, and up to three are waited for; a failed call is made again within 0.2 s. Tests: a source that is silent and returns; the chain of silent and failed calls as a property.

--- a/internal/decide/believe/ask.go
+++ b/internal/decide/believe/ask.go
@@ -19,9 +19,10 @@
 }
 
 // NewWatcher returns one for a source that is the node's own (an agent on its machine): it need not be spared by chance
-// over seconds, and a watch goes on only if its next call comes within 0.2 s.
+// over seconds, a watch goes on only if its next call comes within 0.2 s, and what the source has at its return may count
+// as told at once.
 func NewWatcher(draw func() float64) *Asker {
-	return &Asker{Least: 0.05, Most: 1, PerS: 10, Burst: 20, Draw: draw}
+	return &Asker{Least: 0.05, Most: 0.2, PerS: 10, Burst: 20, Draw: draw}
 }
 
 // Start returns when the first call may be made: nodes that start together do not ask together.
--- a/internal/decide/believe/watch.go
+++ b/internal/decide/believe/watch.go
@@ -10,21 +10,32 @@
 	First float64 // for a new connection, and on it for the first byte of an answer that has nothing to wait for
 	Idle  float64 // between two bytes of an answer: one that comes slowly is not one that has stopped
 	Whole float64 // for a whole answer, from its first byte
+	Most  float64 // for the first byte of a call that has been silent, while others have been made beside it
 }
 
-// Shares of the time after which a change counts as told. Those of a silent watch and of two more calls that fail, each with
-// the longest wait of a Watcher after it, add up to less than the whole (TestAChangeIsHeardInTime walks them).
+// Shares of the time after which a change counts as told. Those of a silent watch and of two more calls that are silent or fail,
+// each with the longest wait of a Watcher after it, add up to less than the whole (TestAChangeIsHeardInTime walks them).
 const (
 	holdPart  = 0.5
 	latePart  = 0.06
 	firstPart = 0.07
 	wholePart = 0.3
+	mostPart  = 5.0  // beyond any outage that a source is likely to answer after
+	slowPart  = 0.25 // while all calls are silent one more is made this often at the least
 )
 
 // NewWatching returns the times for a source whose changes count as told after so long (s).
 func NewWatching(told float64) Watching {
-	return Watching{Hold: holdPart * told, Late: latePart * told, First: firstPart * told, Idle: firstPart * told, Whole: wholePart * told}
+	return Watching{Hold: holdPart * told, Late: latePart * told, First: firstPart * told, Idle: firstPart * told,
+		Whole: wholePart * told, Most: mostPart * told}
 }
 
-// Silent is when a call that was begun at a time, and may wait for news for so long, counts as silent if no byte has come.
-func (w Watching) Silent(begun, hold float64) float64 { return begun + max(hold+w.Late, w.First) }
+// Silent is when a watch that was begun at a time counts as silent, if no byte has come.
+func (w Watching) Silent(begun float64) float64 { return begun + w.Hold + w.Late }
+
+// Patience is when a call that was begun at a time and has nothing to wait for counts as silent, so many having been silent
+// before it: the longer an outage, the fewer calls are made into it.
+func (w Watching) Patience(begun float64, silent int) float64 {
+	most := w.Most / mostPart * slowPart
+	return begun + min(most, w.First*float64(int(1)<<min(max(0, silent-1), 8)))
+}
--- a/internal/decide/believe/watch_test.go
+++ b/internal/decide/believe/watch_test.go
@@ -18,12 +18,14 @@
 			now = a.After(now, true)
 		}
 		silentSince := now // the change comes at once after
-		now = w.Silent(now, w.Hold)
-		for range rapid.IntRange(0, 2).Draw(t, "failures") {
-			now = a.After(now, false)
-			now += rapid.Float64Range(0, w.First).Draw(t, "connecting or silent")
+		now = w.Silent(now)
+		for i := range rapid.IntRange(0, 2).Draw(t, "failures") {
+			if rapid.Bool().Draw(t, "silent") {
+				now = w.Patience(now, i+1)
+			} else {
+				now = a.After(now+rapid.Float64Range(0, w.First).Draw(t, "connecting"), false)
+			}
 		}
-		now = a.After(now, false)
 		if now >= silentSince+told {
 			t.Fatalf("asked only %.2f s after the watch fell silent", now-silentSince)
 		}
@@ -38,9 +40,13 @@
 		a := NewWatcher(func() float64 { return rapid.Float64Range(0, 0.999).Draw(t, "chance") })
 		now, back := 100.0, 100+rapid.Float64Range(0.1, 60).Draw(t, "down for")
 		begun := now
-		for now < back {
+		for silent := 1; now < back; silent++ {
 			begun = now
-			now = a.After(now+rapid.Float64Range(0, w.First).Draw(t, "took"), false)
+			if rapid.Bool().Draw(t, "silent") {
+				now = w.Patience(now, silent)
+			} else {
+				now = a.After(now+rapid.Float64Range(0, w.First).Draw(t, "connecting"), false)
+			}
 		}
 		if now > back+told/3 {
 			t.Fatalf("back at %.2f, asked at %.2f, the call before began at %.2f", back, now, begun)
@@ -51,7 +57,7 @@
 // A watch says how long it may wait, and what follows a silent one fits behind it.
 func TestWatchingFitsItsClock(t *testing.T) {
 	w := NewWatching(6)
-	if got := w.Silent(0, w.Hold); got > 3.5 || got <= w.Hold {
+	if got := w.Silent(0); got > 3.5 || got <= w.Hold {
 		t.Errorf("silent after %g s of a hold of %g", got, w.Hold)
 	}
 	if w.Whole > 2 || w.First > 0.5 || w.Idle > w.Whole {
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -59,17 +59,33 @@
 	closed bool
 }
 
-// watch is one address that is followed. Where it goes on from is its own: another address may count versions anew.
+// watch is one address that is followed. Where it goes on from is its own: another address may count versions anew. All but
+// what the lock guards belongs to its goroutine.
 type watch struct {
-	addr string
-	stop chan struct{}
-
-	version int64 // that its changes are asked from, once it has told a whole list; of its own goroutine
+	addr    string
+	stop    chan struct{}
+	replies chan reply
+	open    []*call // that have not ended, the newest last
+	version int64   // that changes are asked from, once a whole list was told
 	going   bool
 
-	mu   sync.Mutex
-	conn *http1.ClientConn
-	quit bool
+	mu    sync.Mutex
+	conns map[*http1.ClientConn]bool // that end closes
+	quit  bool
+}
+
+// call is one call to discovery.
+type call struct {
+	target string
+	on     *http1.ClientConn // its connection, guarded by the watch's lock; nil = a new one is to be made
+}
+
+// reply is what became of a call.
+type reply struct {
+	*call
+	line *http1.ClientConn // that it went on; nil = none could be made
+	a    *answer
+	err  error
 }
 
 // Follow starts following discovery at an address, from what was known before (may be empty).
@@ -106,7 +122,7 @@
 		return
 	}
 	before := d.watch
-	w := &watch{addr: addr, stop: make(chan struct{})}
+	w := &watch{addr: addr, stop: make(chan struct{}), replies: make(chan reply), conns: map[*http1.ClientConn]bool{}}
 	d.watch = w
 	d.wg.Add(1)
 	go func() { defer d.wg.Done(); d.follow(w, before) }()
@@ -129,103 +145,156 @@
 	if !w.quit {
 		w.quit = true
 		close(w.stop)
-		if w.conn != nil {
-			w.conn.Close()
+		for c := range w.conns {
+			c.Close()
 		}
 	}
 }
 
-// hold notes the connection that end closes; false = the watch has ended.
-func (w *watch) hold(c *http1.ClientConn) bool {
+// hold notes the connection of a call, which end closes; false = the watch has ended. drop closes one and forgets it.
+func (w *watch) hold(c *call, on *http1.ClientConn) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.conn = c
+	c.on, w.conns[on] = on, true
 	return !w.quit
 }
 
+func (w *watch) drop(on *http1.ClientConn) {
+	if on != nil {
+		on.Close()
+		w.mu.Lock()
+		delete(w.conns, on)
+		w.mu.Unlock()
+	}
+}
+
 // follow asks until it is stopped. before is the watch that this one follows upon.
+//
+// One call leads: it waits for news, or has just been made. When it has been silent for too long, another one leads on a new
+// connection, and those before it are waited for all the same: while discovery is down it says nothing, and what it has at
+// its return it says first to who is waiting. So a node is never without a call that is out.
 func (d *Discovery) follow(w, before *watch) {
+	pool := &http1.Pool{Limits: http1.Limits{Line: 1 << 10, Header: 8 << 10, Headers: 64, Body: maxList}}
+	var calls sync.WaitGroup
 	defer func() {
+		w.end()
+		calls.Wait()
+		pool.Close()
 		if before != nil {
 			before.end()
 		}
 	}()
-	pool := &http1.Pool{MaxIdle: 1, Limits: http1.Limits{Line: 1 << 10, Header: 8 << 10, Headers: 64, Body: maxList}}
-	defer pool.Close()
 	asker := believe.NewWatcher(rand.Float64)
+	var lead *call
+	var line *http1.ClientConn // that the next call goes on; nil = a new one
+	silent := 0                // calls that have led and said nothing since the last answer
+	at := unix()               // when a call is due, or the one that leads counts as silent
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		err := d.session(w, pool, asker, func() {
+		timer.Reset(max(0, seconds(at-unix())))
+		select {
+		case <-w.stop:
+			return
+		case <-timer.C:
+			if lead != nil {
+				silent++
+				d.log.Info("discovery is silent", "address", w.addr, "calls", silent)
+			}
+			lead, at = w.begin(line, d.times, silent)
+			line = nil
+			calls.Add(1)
+			go func(c *call) { defer calls.Done(); d.call(w, pool, c) }(lead)
+		case r := <-w.replies:
+			if !w.ended(r.call) {
+				continue // it was given up
+			}
+			if r.err != nil {
+				w.drop(r.line)
+				if r.call == lead {
+					d.log.Info("discovery", "address", w.addr, "error", r.err.Error())
+					lead, at = nil, asker.After(unix(), false)
+				}
+				continue
+			}
 			if before != nil {
 				before.end()
 				before = nil
 			}
-		})
-		select {
-		case <-w.stop:
-			return
-		default:
-		}
-		d.log.Info("discovery", "address", w.addr, "error", err.Error())
-		if !w.until(asker.After(unix(), false)) {
-			return
+			if r.call == lead || !w.going || r.a.Version >= w.version { // else the one that leads has told more
+				w.version, w.going = d.hear(r.a, false)
+			}
+			if r.call != lead && silent == 0 {
+				w.drop(r.line)
+				continue
+			}
+			lead, line, silent, at = nil, r.line, 0, asker.After(unix(), true)
 		}
 	}
 }
 
-func unix() float64 { return float64(time.Now().UnixNano()) / 1e9 }
+// mostCalls is how many calls are waited for at once.
+const mostCalls = 3
 
-// until waits for a time (Unix s); false = the watch has ended.
-func (w *watch) until(at float64) bool {
-	wait := seconds(at - unix())
-	if wait <= 0 {
-		return true
+// begin notes a call and returns when it counts as silent (Unix s). On a connection that has just answered it waits for news;
+// the first one on a new connection waits for nothing. Changes are asked for where they are enough: they are less to send.
+func (w *watch) begin(line *http1.ClientConn, times believe.Watching, silent int) (*call, float64) {
+	c, late := &call{on: line, target: pathList}, times.Patience(unix(), silent)
+	if w.going {
+		hold := 1e-3
+		if line != nil {
+			hold, late = times.Hold, times.Silent(unix())
+		}
+		c.target += "?from=" + strconv.FormatInt(w.version, 10) + "&hold_ms=" + strconv.FormatInt(seconds(hold).Milliseconds(), 10)
 	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-w.stop:
-		return false
-	case <-t.C:
-		return true
+	if w.open = append(w.open, c); len(w.open) > mostCalls {
+		w.mu.Lock()
+		on := w.open[0].on
+		w.mu.Unlock()
+		w.drop(on)
+		w.open = w.open[1:]
 	}
+	return c, late
 }
 
-// session asks for what is wanted on one connection until that fails. heard is told of each answer. A list that has been
-// heard whole here is gone on from by its changes, on a new connection too: they are less to send.
-func (d *Discovery) session(w *watch, pool *http1.Pool, asker *believe.Asker, heard func()) error {
-	c, err := pool.Get(w.addr, seconds(d.times.First))
-	if err != nil {
-		return err
-	}
-	defer c.Close()
-	if !w.hold(c) {
-		return errStopped
+// ended forgets a call; false = it had been given up.
+func (w *watch) ended(c *call) bool {
+	n := len(w.open)
+	w.open = slices.DeleteFunc(w.open, func(x *call) bool { return x == c })
+	return len(w.open) < n
+}
+
+// errStopped tells that a watch has been ended by us.
+var errStopped = errors.New("stopped")
+
+// call makes a call, and hands on what became of it.
+func (d *Discovery) call(w *watch, pool *http1.Pool, c *call) {
+	r := reply{call: c}
+	on := c.on
+	if on == nil {
+		on, r.err = pool.Dial(w.addr, seconds(d.times.First))
 	}
-	for hold := 1e-3; ; hold = d.times.Hold { // the first call on a connection waits for nothing: its silence is told at once
-		target, by := pathList, unix()+d.times.First
-		if w.going {
-			target = pathList + "?from=" + strconv.FormatInt(w.version, 10) + "&hold_ms=" + strconv.FormatInt(seconds(hold).Milliseconds(), 10)
-			by = d.times.Silent(unix(), hold)
-		}
-		a, err := d.ask(c, target, by)
-		if err != nil {
-			return err
+	if r.err == nil {
+		if w.hold(c, on) {
+			r.a, r.err = d.ask(on, c.target)
+		} else {
+			r.err = errStopped
 		}
-		w.version, w.going = d.hear(a, false)
-		heard()
-		if !w.until(asker.After(unix(), true)) {
-			return errStopped
+	}
+	r.line = on
+	select {
+	case w.replies <- r:
+	case <-w.stop:
+		if on != nil {
+			on.Close()
 		}
 	}
 }
 
-// errStopped tells that a watch has been ended by us.
-var errStopped = errors.New("stopped")
-
-// ask makes one call. The first byte of its answer must come by the time given (Unix s); from there its bytes have to keep
-// coming: lists may come in pieces as small as one byte.
-func (d *Discovery) ask(c *http1.ClientConn, target string, by float64) (*answer, error) {
-	c.SetDeadline(time.Unix(0, int64(by*1e9)))
+// ask makes one call. How long its first byte may take is for others to judge; from there its bytes have to keep coming: lists
+// may come in pieces as small as one byte.
+func (d *Discovery) ask(c *http1.ClientConn, target string) (*answer, error) {
+	c.SetDeadline(time.Now().Add(seconds(d.times.Most)))
 	if _, _, err := c.Send("GET", target, nil, nil); err != nil {
 		return nil, err
 	}
@@ -266,6 +335,8 @@
 	return s.r.Read(p)
 }
 
+func unix() float64 { return float64(time.Now().UnixNano()) / 1e9 }
+
 // readList reads an answer; an entry that cannot be spoils it.
 func readList(body []byte) (*answer, error) {
 	var a answer
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -282,3 +282,37 @@
 		}
 	}
 }
+
+// A source that was silent says first, to whoever waits, what it has at its return: a node has a call out at any time, so that
+// it hears of a drain at once, however long the outage was.
+func TestAReturnIsHeardAtOnce(t *testing.T) {
+	back := make(chan struct{})
+	var down atomic.Bool
+	s := newSource(t, func(_ int, _ string, _ net.Conn) bool {
+		if down.Load() {
+			<-back
+		}
+		return false
+	})
+	h := &heard{}
+	d := follow(s.l.Addr().String(), nil, given(t), believe.NewWatching(0.6), h.take, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	defer d.Close()
+	within(t, "the list", 2*time.Second, func() bool { return h.up.Load() > 0 })
+	down.Store(true)
+	time.Sleep(1500 * time.Millisecond) // several calls have fallen silent
+	if n := s.count(); n > 30 {
+		t.Errorf("%d calls into an outage", n)
+	}
+	down.Store(false)
+	s.mu.Lock()
+	s.drain = true
+	s.mu.Unlock()
+	close(back)
+	within(t, "the drain", 100*time.Millisecond, func() bool { return h.drained.Load() > 0 })
+	time.Sleep(time.Second)
+	d.watch.mu.Lock()
+	defer d.watch.mu.Unlock()
+	if n := len(d.watch.conns); n > 2 {
+		t.Errorf("%d connections are open after the return", n)
+	}
+}
