--- a/brain/brain.go
+++ b/brain/brain.go
@@ -526,7 +526,7 @@
 }
 
 func (r *Router) lag(e *engine) float64 {
-	return e.lag.get(r.now, r.kinds[e.Kind].lag.get(r.now, firstLag, forget), forget)
+	return e.lag.get(r.now, r.kinds[e.Kind].lag.get(r.now, firstLag, 0), forget)
 }
 
 // curve is the writer's own fit, or its kind's until a stream of ours has ended there.
@@ -931,10 +931,10 @@
 // any class right behind it would still start in time, by what all reads have lately shown and four times its
 // mean error. Where many routers have a request or two each, our empty high tier tells nothing of theirs.
 func (r *Router) spare(e *engine, t float64) bool {
-	off := r.spread[e.role].get(r.now, 0, 0)
+	t += spreadOver * r.spread[e.role].get(r.now, 0, 0)
 	for i, c := range r.cfg.Classes {
 		p := r.classes[i].prompt.v
-		if off+readSlack*(t+(p+overhead)*r.spt(e)) > c.Aim+c.AimPerK*p/1000 {
+		if readSlack*(t+(p+overhead)*r.spt(e)) > c.Aim+c.AimPerK*p/1000 {
 			return false
 		}
 	}
