At the end of its time a request that was not heard of fails; a state called gone is let go of

Change, as a defence of the class: where no client can come again (0.1 s), a class that must not run twice fails after an attempt that was sent whole and not heard of; before, it is refused as it was. Ruled out: ids sent by others (one node asked), roles (both engines answered reads), a kept connection's second answer.

--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -121,6 +121,7 @@
 	ran       bool      // an attempt that has ended may have run
 	ranOn     string
 	ranAt     float64
+	unheard   bool    // an attempt was written whole and ended without an answer
 	answering bool    // the answer belongs to an attempt
 	concluded bool    // the client has its answer, or has gone
 	rejected  int     // code by which an engine has judged the request
@@ -471,10 +472,22 @@
 		l.fault("refusal of %s, which may have run", id)
 		a, after = ending.Failed(), 0
 	}
+	if a.Retry && l.lastWord(now, e) {
+		a, after = ending.Failed(), 0
+	}
 	l.say(e, Answer{id, a, after, reason})
 	l.conclude(id, e, ending.Overtaken)
 }
 
+// comeBack is the time in which no client can come again (s).
+const comeBack = 0.1
+
+// lastWord tells that a refusal would be of no use, its client's time being up, and rests on an engine that was sent the whole
+// of a request and never said what became of it. A class that must not run twice is better served by a failure then.
+func (l *Ledger) lastWord(now float64, e *entry) bool {
+	return e.unheard && e.class.Effect != brain.Repeatable && now > e.deadline-comeBack
+}
+
 // say gives an answer now, or when the attempt that writes to the client has stopped.
 func (l *Ledger) say(e *entry, a Answer) {
 	for i := range e.attempts {
@@ -573,6 +586,7 @@
 		f.Progress = ending.Streaming
 	}
 	v := ending.Judge(f)
+	e.unheard = e.unheard || f.Cause != ending.Answered && f.Progress >= ending.Written
 	if f.Cause == ending.Answered && f.Meaning == ending.Judged && !v.Final {
 		e.rejected = f.Code
 	}
@@ -609,6 +623,9 @@
 		// Cut reads may have ended well, and an engine that read for itself keeps what it has read.
 		l.letGo(id, e, Release{Engine: t.engine, N: n, Cut: true})
 	case t.took(e) && (v.Status == brain.TurnedAway && v.Info == 1 || v.Status == brain.Served && !v.Final):
+		if l.cfg.ReleaseAll && v.Status == brain.TurnedAway { // gone for the writer; the reader may know better
+			l.letGo(id, e, Release{Engine: e.state, N: e.stateN})
+		}
 		e.state = ""
 	}
 }
@@ -656,17 +673,17 @@
 		return
 	case e.answering:
 		if e.wholeBy > 0 && now >= e.wholeBy {
-			l.giveUp(id, e, ending.TooSlow(e.class.Effect, e.class.Group), "the answer was not whole in time")
+			l.giveUp(now, id, e, ending.TooSlow(e.class.Effect, e.class.Group), "the answer was not whole in time")
 		}
 		return
 	}
 	l.fault("request %s was not answered in time by the module", id)
-	l.giveUp(id, e, ending.Answer{HTTP: 503, Code: "no_capacity", Retry: true}, "no answer in time")
+	l.giveUp(now, id, e, ending.Answer{HTTP: 503, Code: "no_capacity", Retry: true}, "no answer in time")
 }
 
 // giveUp answers in the module's place and tells it so.
-func (l *Ledger) giveUp(id string, e *entry, a ending.Answer, reason string) {
-	if a.Retry && !ending.Repeats(e.class.Effect, e.class.Group, l.mayHaveRun(e)) {
+func (l *Ledger) giveUp(now float64, id string, e *entry, a ending.Answer, reason string) {
+	if a.Retry && (l.lastWord(now, e) || !ending.Repeats(e.class.Effect, e.class.Group, l.mayHaveRun(e))) {
 		a = ending.Failed()
 	}
 	l.say(e, Answer{id, a, 0, reason})
@@ -679,7 +696,7 @@
 
 // EndAll answers every request that is still open, as refused where that is true and else as failed. Streams
 // that run are ended with an error.
-func (l *Ledger) EndAll(now float64) { l.end(true) }
+func (l *Ledger) EndAll(now float64) { l.end(now, true) }
 
 // Streaming returns the requests whose answers run, in order of their ids, with the times at which they were sent.
 func (l *Ledger) Streaming() (ids []string, sent []float64) {
@@ -695,23 +712,23 @@
 }
 
 // Move ends a stream whose client comes again for the rest. It does nothing to what does not stream.
-func (l *Ledger) Move(id string) {
+func (l *Ledger) Move(now float64, id string) {
 	if e := l.open[id]; e != nil && e.answering && !e.concluded {
-		l.giveUp(id, e, ending.Answer{HTTP: 503, Code: "node_stopping", Retry: true}, "the node is stopping")
+		l.giveUp(now, id, e, ending.Answer{HTTP: 503, Code: "node_stopping", Retry: true}, "the node is stopping")
 	}
 }
 
 // EndHeld answers every request whose answer has not begun.
-func (l *Ledger) EndHeld(now float64) { l.end(false) }
+func (l *Ledger) EndHeld(now float64) { l.end(now, false) }
 
-func (l *Ledger) end(streams bool) {
+func (l *Ledger) end(now float64, streams bool) {
 	for _, id := range sortedKeys(l.open) {
 		e := l.open[id]
 		if e.concluded || e.answering && !streams {
 			continue
 		}
 		a := ending.Answer{HTTP: 503, Code: "node_stopping", Retry: true}
-		l.giveUp(id, e, a, "the node is stopping")
+		l.giveUp(now, id, e, a, "the node is stopping")
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -244,7 +244,7 @@
 		streams[i] = handover.Stream{ID: ids[i], Since: since[i]}
 	}
 	for _, m := range handover.Plan(now, n.endBy, streams) {
-		n.core.wheel.Add(m.At, func(float64) { n.core.book.Move(m.ID) })
+		n.core.wheel.Add(m.At, func(now float64) { n.core.book.Move(now, m.ID) })
 	}
 }
 
