--- a/brain/brain.go
+++ b/brain/brain.go
@@ -221,7 +221,7 @@
 		r.do(Release{q.ID}) // what a mixed engine has read by itself stays held as well
 	}
 	lost := q.passed >= lostAfter
-	if (was == reading || was == writing) && !lost {
+	if (was == reading || was == writing) && (ev.Status == Parsed || r.good[e.role] < q.sentAt) {
 		r.spread[e.role].add(r.now, math.Abs(ev.Spent-q.expect), poolGain)
 	}
 	if ev.Status == Parsed {
@@ -362,7 +362,7 @@
 func (r *Router) judge(e *engine, bad float64) {
 	e.err += errGain * (bad - e.err)
 	if bad == 0 {
-		e.lastGood = r.now
+		e.lastGood, r.good[e.role] = r.now, r.now
 		if e.err < errTrial {
 			e.backoff = 0
 		}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1140,3 +1140,39 @@
 		}
 	}
 }
+
+// An engine that hangs while others of its role answer says nothing of the role: the next one that hangs is noticed as soon as
+// the first was. Where the whole role is late, that is learned.
+func TestAHangingEngineDoesNotMakeItsRolePatient(t *testing.T) {
+	m := Members{Form: ListFull, Engines: []Engine{eng("w0", 1, 0)}}
+	for i := range 6 {
+		m.Engines = append(m.Engines, eng(fmt.Sprint("r", i), 0, 0))
+	}
+	for _, c := range []struct {
+		others bool
+		most   float64 // mean error believed afterwards
+	}{{true, 0.05}, {false, 9}} {
+		r := start(t, testConfig(), m)
+		now := 1.0
+		for i := range 12 {
+			id := fmt.Sprint("hangs", i)
+			s := one[Send](t, r.Step(now, []Event{ask(id, 0)}))
+			if c.others {
+				for k := range 2 { // two others are answered at once
+					other := fmt.Sprint("good", i, "-", k)
+					x := of[Send](r.Step(now+0.01, []Event{ask(other, 0)}))
+					if len(x) == 1 && x[0].Engine != s.Engine {
+						r.Step(now+0.06, []Event{Outcome{ID: other, Engine: x[0].Engine, Status: Parsed, Spent: 0.05}})
+					}
+					r.Step(now+0.06, []Event{Gone{ID: other}})
+				}
+			}
+			r.Step(now+2, []Event{Outcome{ID: id, Engine: s.Engine, Status: CalledOff, Spent: 2}, Gone{ID: id}})
+			now += 2.5
+		}
+		got := r.spread[Read].get(now, 0, 0)
+		if c.others && got > c.most || !c.others && got < 0.3 {
+			t.Errorf("others answer: %v; mean error %.2f s", c.others, got)
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -134,9 +134,10 @@
 	sessions        map[string]session
 	links           map[linkKey]*link
 	buckets         []bucket
-	borne           [3]rate  // weight of reads ended and streams begun for us, by role
-	most            [3]int   // engines of each role that were ready at once
-	spread          [3]gauge // by role: s by which attempts' times missed our predictions
+	borne           [3]rate    // weight of reads ended and streams begun for us, by role
+	most            [3]int     // engines of each role that were ready at once
+	spread          [3]gauge   // by role: s by which attempts' times missed our predictions
+	good            [3]float64 // by role: when an engine last answered
 	arrivals, asked rate
 	meanPrompt      gauge // tokens of the requests that came
 	meanAnswer      gauge // and of their answers, as guessed
