--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1160,7 +1160,9 @@
 			if c.others {
 				for k := range 2 { // two others are answered at once
 					other := fmt.Sprint("good", i, "-", k)
-					x := of[Send](r.Step(now+0.01, []Event{ask(other, 0)}))
+					q := ask(other, 0)
+					q.Prefix = other
+					x := of[Send](r.Step(now+0.01, []Event{q}))
 					if len(x) == 1 && x[0].Engine != s.Engine {
 						r.Step(now+0.06, []Event{Outcome{ID: other, Engine: x[0].Engine, Status: Parsed, Spent: 0.05}})
 					}
