Of many nodes one that stops lets its streams run for most of its time

Streams are ended early so that they find somebody in a rolling restart of two nodes; of more than three, somebody is there. Change: with more than three nodes (the settings tell) they end between 85% and 97%. Test of both sides.

--- a/internal/decide/handover/handover.go
+++ b/internal/decide/handover/handover.go
@@ -21,23 +21,29 @@
 	At float64
 }
 
-// Shares of the time that is left in which streams are ended. In a rolling restart the node before us may not be back yet
-// at first, and the one after us may be told to stop towards the end; and what can end by itself should.
+// Shares of the time that is left in which streams are ended. In a rolling restart of a few nodes the one before us may not be
+// back yet at first, and the one after us may be told to stop towards the end, so that nobody may be there for a while; where
+// there are more, somebody is, and what can end by itself should: the rest of a stream that is ended is read and made anew.
 const (
-	from = 0.45
-	to   = 0.9
+	from, to         = 0.45, 0.9
+	fromMany, toMany = 0.85, 0.97
+	few              = 3 // nodes
 )
 
-// Plan says when each stream is ended that has not ended by itself. The youngest go first, for they have most before them.
-func Plan(now, by float64, streams []Stream) []Move {
-	left := max(0, by-now)
+// Plan says when each stream is ended that has not ended by itself, by one of so many nodes. The youngest go first, for they
+// have most before them.
+func Plan(now, by float64, nodes int, streams []Stream) []Move {
+	left, begin, end := max(0, by-now), from, to
+	if nodes > few {
+		begin, end = fromMany, toMany
+	}
 	xs := slices.Clone(streams)
 	slices.SortFunc(xs, func(a, b Stream) int {
 		return cmp.Or(cmp.Compare(b.Since, a.Since), cmp.Compare(a.ID, b.ID))
 	})
 	moves := make([]Move, 0, len(xs))
 	for i, s := range xs {
-		at := from + (to-from)*(float64(i)+0.5)/float64(len(xs))
+		at := begin + (end-begin)*(float64(i)+0.5)/float64(len(xs))
 		moves = append(moves, Move{s.ID, now + left*at})
 	}
 	return moves
--- a/internal/decide/handover/handover_test.go
+++ b/internal/decide/handover/handover_test.go
@@ -19,7 +19,7 @@
 			s := Stream{fmt.Sprint("s", i), now - float64(rapid.IntRange(0, 100).Draw(t, "age"))}
 			since[s.ID], streams = s.Since, append(streams, s)
 		}
-		moves := Plan(now, now+left, streams)
+		moves := Plan(now, now+left, rapid.IntRange(1, 300).Draw(t, "nodes"), streams)
 		if len(moves) != n {
 			t.Fatalf("%d moves of %d streams", len(moves), n)
 		}
@@ -43,9 +43,20 @@
 
 // A node whose time is up ends all at once.
 func TestNoTimeLeft(t *testing.T) {
-	for _, m := range Plan(10, 9, []Stream{{"a", 1}, {"b", 2}}) {
+	for _, m := range Plan(10, 9, 2, []Stream{{"a", 1}, {"b", 2}}) {
 		if m.At != 10 {
 			t.Fatalf("%+v", m)
 		}
 	}
 }
+
+// Where there are many nodes, what can end by itself within most of the time does; of a few, some streams move early.
+func TestManyNodesLetStreamsEnd(t *testing.T) {
+	streams := []Stream{{"a", 1}, {"b", 2}, {"c", 3}}
+	if at := Plan(10, 13, 300, streams)[0].At; at < 12.4 {
+		t.Errorf("of 300 nodes one ends a stream after %.2f of 3 s", at-10)
+	}
+	if at := Plan(10, 13, 2, streams)[0].At; at > 12 {
+		t.Errorf("of 2 nodes one ends its first stream only after %.2f of 3 s", at-10)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -243,7 +243,7 @@
 	for i := range ids {
 		streams[i] = handover.Stream{ID: ids[i], Since: since[i]}
 	}
-	for _, m := range handover.Plan(now, n.endBy, streams) {
+	for _, m := range handover.Plan(now, n.endBy, n.plan.brain.Balancers, streams) {
 		n.core.wheel.Add(m.At, func(now float64) { n.core.book.Move(now, m.ID) })
 	}
 }
