Engines are told no more time than their client has left

Cause: X-Budget was the attempt's own limit, which runs on past the client's time by the slack of an answer (33 ms). Change: a call carries what is left to the client beside its limit, and that is told. Test on sockets, first and further attempts, fails without it (2.027 s told, 2.013 left).

--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -56,12 +56,13 @@
 		n.core.book.Ended(now, cmd.ID, cmd.N, ending.Facts{Cause: ending.Overtaken}, nil)
 		return
 	}
-	limit := cmd.Timeout
-	if at, ok := n.core.book.Deadline(cmd.ID); ok && (limit <= 0 || limit > at-now) {
-		limit = at - now
+	limit, left := cmd.Timeout, cmd.Timeout
+	if at, ok := n.core.book.Deadline(cmd.ID); ok {
+		limit, left = within(limit, at-now), within(left, at-now-n.plan.book.Slack)
 	}
 	a := c.job.Attempt(protocol.Call{N: cmd.N, Address: n.addresses[cmd.Engine], Stage: cmd.Stage, State: cmd.State,
-		StateN: cmd.StateN, Timeout: max(time.Millisecond, seconds(limit))})
+		StateN: cmd.StateN, Timeout: max(time.Millisecond, seconds(limit)),
+		Left: max(time.Millisecond, seconds(left))})
 	c.attempts[cmd.N] = try{a, cmd.Engine}
 	n.log.Debug("attempt", "request", cmd.ID, "attempt", cmd.N, "engine", cmd.Engine, "prefill", cmd.Stage == ending.Prefill,
 		"state", cmd.State, "limit", limit)
@@ -73,6 +74,14 @@
 	n.running.start(func() { n.ended(cmd, a.Run(s)) })
 }
 
+// within is the lesser of a limit, of which 0 or less is none, and what is left.
+func within(limit, left float64) float64 {
+	if limit <= 0 {
+		return left
+	}
+	return min(limit, left)
+}
+
 // ended reports the end of an attempt to the owner.
 func (n *Node) ended(cmd ledger.Start, r protocol.Result) {
 	n.core.post(func(now float64) {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -58,6 +58,7 @@
 	State   bool // a state waits and is to be fetched
 	StateN  int  // from this attempt
 	Timeout time.Duration
+	Left    time.Duration // until the client's time is up, which the engine is told; Timeout may be beyond it by a slack
 }
 
 // Attempt is one attempt at an engine.
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -97,7 +97,8 @@
 
 // open connects, writes the request and reads the head of the answer. r holds how far it came.
 func (a *attempt) open(r *protocol.Result) (*http1.ClientConn, *http1.Response) {
-	until := time.Now().Add(a.call.Timeout)
+	start := time.Now()
+	until, left := start.Add(a.call.Timeout), start.Add(a.call.Left)
 	r.Facts.Progress = ending.Dialling
 	c, err := a.engines.get(a.call.Address, a.call.Timeout, a.fresh)
 	if err != nil {
@@ -108,7 +109,7 @@
 		return nil, nil
 	}
 	fields := []http1.Field{{Name: headID, Value: a.id},
-		{Name: headBudget, Value: strconv.FormatFloat(max(0.001, time.Until(until).Seconds()), 'f', 3, 64)}}
+		{Name: headBudget, Value: strconv.FormatFloat(max(0.001, time.Until(left).Seconds()), 'f', 3, 64)}}
 	if a.kind != "" {
 		fields = append(fields, http1.Field{Name: "Content-Type", Value: a.kind})
 	}
--- a/lab/platform/engine.go
+++ b/lab/platform/engine.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -173,6 +174,10 @@
 		e.p.Log.Add(record.Record{Kind: record.More, Op: "void:" + call, Note: "an id that no client sent"})
 		return reply(c, 400, "", "no client sent this id")
 	}
+	told, _ := strconv.ParseFloat(r.Header.Get("X-Budget"), 64)
+	e.p.mu.Lock()
+	e.p.budgets[op.Name] = append(e.p.budgets[op.Name], Budget{told, float64(time.Now().UnixNano()) / 1e9})
+	e.p.mu.Unlock()
 	stage := "decode"
 	if e.Role == "read" {
 		stage = "prefill"
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 	engines map[string]*Engine
 	holds   map[string]map[string]bool // by call: engines that hold something of it
 	ops     map[string]Op              // by call
+	budgets map[string][]Budget        // by name of an op
 	wg      sync.WaitGroup
 }
 
@@ -32,9 +34,19 @@
 	ran         bool
 }
 
+// Budget is what an attempt told its engine of the time that is left (s), and when (Unix s).
+type Budget struct{ Told, At float64 }
+
+// Budgets returns what the attempts for an op told, in order of arrival.
+func (p *Platform) Budgets(op string) []Budget {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.budgets[op])
+}
+
 // New returns a platform without engines.
 func New(node string, log *record.Log) *Platform {
-	return &Platform{Log: log, Node: node, engines: map[string]*Engine{}, holds: map[string]map[string]bool{}, ops: map[string]Op{}}
+	return &Platform{Log: log, Node: node, engines: map[string]*Engine{}, holds: map[string]map[string]bool{}, ops: map[string]Op{}, budgets: map[string][]Budget{}}
 }
 
 // Add starts an engine; role is read, write or both.
