A request in the moment of a close is answered; a draining node ends idle connections without a reset

Cause: a read whose deadline has passed fails whatever is there, so that a request which came as an idle connection's time ran out was closed over: a reset, and with it whatever the system still held back. Change: one more look of 1 ms; a draining server shuts down writing, reads on for a moment and then closes. Two tests, which fail without it.

--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -270,6 +270,47 @@
 	}
 }
 
+// A request that is there when the time of its connection runs out is answered.
+func TestRequestInTheMomentOfACloseIsAnswered(t *testing.T) {
+	s := &Server{Times: Times{First: time.Nanosecond, Head: time.Second, Body: time.Second, Idle: time.Nanosecond, Write: time.Second}}
+	answered := 0
+	addr := serve(t, s)
+	for range 20 {
+		c := dial(t, addr)
+		if _, err := io.WriteString(c, ok+"\r\n"); err != nil {
+			continue
+		}
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil && resp.StatusCode == 200 {
+			answered++
+		}
+		c.Close()
+	}
+	if answered == 0 {
+		t.Error("none of 20 was answered")
+	}
+}
+
+// A draining server ends an idle connection so that what its client sends just then meets no reset.
+func TestDrainEndsIdleConnectionsWithoutAReset(t *testing.T) {
+	s := &Server{Times: Times{Head: time.Second, Body: time.Second, Idle: 10 * time.Second, Write: time.Second, DrainIdle: 30 * time.Millisecond, Linger: time.Second}}
+	c := dial(t, serve(t, s))
+	io.WriteString(c, ok+"\r\n")
+	br := bufio.NewReader(c)
+	if _, err := http.ReadResponse(br, nil); err != nil {
+		t.Fatal(err)
+	}
+	s.Drain()
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Fatalf("%v, wanted the end", err)
+	}
+	for range 5 {
+		if _, err := io.WriteString(c, ok+"\r\n"); err != nil {
+			t.Fatalf("a request that crossed the end met %v", err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 func TestSecondAnswerIsRefused(t *testing.T) {
 	errs := make(chan error, 4)
 	s := &Server{Handler: HandlerFunc(func(x *Exchange) {
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -335,7 +336,8 @@
 			wait = min(wait, s.drainLeft())
 		}
 		c.nc.SetReadDeadline(time.Now().Add(wait))
-		if _, err := c.br.Peek(1); err != nil {
+		if _, err := c.br.Peek(1); err != nil && !c.cameLate(err) {
+			c.linger(!s.draining.Load())
 			return
 		}
 		c.idle.Store(false)
@@ -369,6 +371,17 @@
 	}
 }
 
+// cameLate tells whether a request came in the very moment in which the time of an idle connection ran out: a read whose deadline has
+// passed fails, whatever is there. A close over it would be a reset.
+func (c *conn) cameLate(err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	c.nc.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err = c.br.Peek(1)
+	return err == nil
+}
+
 // readBy bounds the reads of a request: by the time given and, if it is bounded, by that of the whole request.
 func (c *conn) readBy(at time.Time) {
 	if !c.by.IsZero() && c.by.Before(at) {
