An attempt goes behind the release that was begun just before it

Change: an attempt waits for the release of its request that began ahead of it, for 15 ms at most. Test: with a call of 5 ms the attempt overtook it before.

--- a/internal/decide/letgo/letgo.go
+++ b/internal/decide/letgo/letgo.go
@@ -55,6 +55,11 @@
 
 const settle = 0.03 // s that a broken attempt may still be under way
 
+// Ahead is how long an attempt waits for a call that releases and was begun just before it (s): if the call came after what the
+// attempt brings, it would take that too. It is a few times what a call takes on a connection that is there, and no more, for the
+// attempt's own time runs on.
+const Ahead = 0.015
+
 // Within is how long one call may take (s): a part of the time that is left, so that others can be asked after it.
 func (p *Plan) Within(now float64) float64 { return max(leastCall, (p.By-now)/callPart) }
 
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -71,7 +71,16 @@
 		s.grant = make(chan bool, 1)
 		c.grants[cmd.N] = s.grant
 	}
-	n.running.start(func() { n.ended(cmd, a.Run(s)) })
+	freed := c.freed
+	n.running.start(func() {
+		if freed != nil {
+			select {
+			case <-freed:
+			case <-time.After(seconds(letgo.Ahead)):
+			}
+		}
+		n.ended(cmd, a.Run(s))
+	})
 }
 
 // within is the lesser of a limit, of which 0 or less is none, and what is left.
@@ -139,7 +148,11 @@
 		n.core.wheel.Add(at, func(now float64) { n.releaseAgain(now, cmd, plan) })
 		return
 	}
-	n.releaseBy(now, cmd, plan)
+	done := make(chan struct{})
+	if c := n.calls[cmd.ID]; c != nil {
+		c.freed = done
+	}
+	n.releaseBy(now, cmd, plan, done)
 }
 
 // releaseAgain makes a call later than it was due, unless it would take what has come since.
@@ -148,11 +161,11 @@
 		n.releasing--
 		return
 	}
-	n.releaseBy(now, cmd, plan)
+	n.releaseBy(now, cmd, plan, make(chan struct{}))
 }
 
-// releaseBy makes one call that releases.
-func (n *Node) releaseBy(now float64, cmd ledger.Release, plan letgo.Plan) {
+// releaseBy makes one call that releases, and closes done when it has ended.
+func (n *Node) releaseBy(now float64, cmd ledger.Release, plan letgo.Plan, done chan struct{}) {
 	engine := cmd.Engine
 	if n.plan.anyone {
 		engine = n.releaser(cmd.Engine, plan.Tries)
@@ -160,6 +173,7 @@
 	address, within := n.addresses[engine], seconds(plan.Within(now))
 	n.running.start(func() {
 		err := n.caller.Release(address, cmd.ID, cmd.N, within)
+		close(done)
 		n.core.post(func(now float64) {
 			o, k := letgo.Answered, n.contacts[engine]
 			if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -371,7 +371,8 @@
 	attempts map[int]try
 	grants   map[int]chan bool
 	guard    *wheel.Timer[func(float64)]
-	answered bool // the answer has been given to a goroutine of its own
+	freed    chan struct{} // closed when the latest release that began ahead of attempts has been made; nil = none has
+	answered bool          // the answer has been given to a goroutine of its own
 	started  time.Time
 }
 
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -19,10 +19,14 @@
 	mu       sync.Mutex
 	read     time.Time // when the first read ended
 	released time.Time // when the first release was made
+	began    time.Time // when the attempt that followed upon it began
 	said     chan struct{}
 }
 
-const connect = 250 * time.Millisecond
+const (
+	connect   = 250 * time.Millisecond
+	callTakes = 5 * time.Millisecond // to release
+)
 
 func (s *slowDials) Attempt(c protocol.Call) protocol.Attempt { return &slowDial{s: s, call: c} }
 func (s *slowDials) Ended(int, protocol.Result)               {}
@@ -37,6 +41,7 @@
 func (s *slowDials) Close()     {}
 func (s *slowDials) Keep(bool)  {}
 func (s *slowDials) Release(string, string, int, time.Duration) error {
+	time.Sleep(callTakes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.released.IsZero() {
@@ -52,6 +57,11 @@
 }
 
 func (a *slowDial) Run(protocol.Host) protocol.Result {
+	a.s.mu.Lock()
+	if !a.s.released.IsZero() && a.s.began.IsZero() {
+		a.s.began = time.Now()
+	}
+	a.s.mu.Unlock()
 	if a.call.Stage == ending.Prefill {
 		a.s.mu.Lock()
 		defer a.s.mu.Unlock()
@@ -65,7 +75,7 @@
 }
 
 // A state is released as soon as it is let go of, though the next attempt goes out in the same pass and takes long to fail: while
-// connections fail to come up, the time of what is held runs on.
+// connections fail to come up, the time of what is held runs on. The attempt goes behind the release, which would take what it brings.
 func TestReleaseDoesNotWaitForTheNextAttempt(t *testing.T) {
 	const letGoBy = 0.3
 	kinds := []brain.Kind{{Role: brain.Read, Memory: 2e5}, {Role: brain.Write, Memory: 2e5}}
@@ -101,4 +111,7 @@
 	if s.released.IsZero() || s.released.Sub(s.read) > connect+150*time.Millisecond {
 		t.Fatalf("released %v after the read", s.released.Sub(s.read))
 	}
+	if s.began.IsZero() {
+		t.Fatal("no attempt followed, or it overtook the release")
+	}
 }
