Discovery: an answer to a call that was given up counts; its connection is not left open

Change: whatever a call was told is heard; what does not lead is closed. How many calls are waited for is believe's to say, not the client's. Test: fails without it. The stand-in's wait for a change is written once.

--- a/internal/decide/believe/watch.go
+++ b/internal/decide/believe/watch.go
@@ -11,6 +11,7 @@
 	Idle  float64 // between two bytes of an answer: one that comes slowly is not one that has stopped
 	Whole float64 // for a whole answer, from its first byte
 	Most  float64 // for the first byte of a call that has been silent, while others have been made beside it
+	Calls int     // that are waited for at once; the oldest makes room
 }
 
 // Shares of the time after which a change counts as told. Those of a silent watch and of two more calls that are silent or fail,
@@ -21,13 +22,14 @@
 	firstPart = 0.07
 	wholePart = 0.3
 	mostPart  = 5.0  // beyond any outage that a source is likely to answer after
+	calls     = 3    // a watch, one made beside it, and one more if that one was lost
 	slowPart  = 0.25 // while all calls are silent one more is made this often at the least
 )
 
 // NewWatching returns the times for a source whose changes count as told after so long (s).
 func NewWatching(told float64) Watching {
 	return Watching{Hold: holdPart * told, Late: latePart * told, First: firstPart * told, Idle: firstPart * told,
-		Whole: wholePart * told, Most: mostPart * told}
+		Whole: wholePart * told, Most: mostPart * told, Calls: calls}
 }
 
 // Silent is when a watch that was begun at a time counts as silent, if no byte has come.
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -206,9 +206,7 @@
 			calls.Add(1)
 			go func(c *call) { defer calls.Done(); d.call(w, pool, c) }(lead)
 		case r := <-w.replies:
-			if !w.ended(r.call) {
-				continue // it was given up
-			}
+			w.ended(r.call) // one that was given up may have been answered all the same: that counts as told
 			if r.err != nil {
 				w.drop(r.line)
 				if r.call == lead {
@@ -233,9 +231,6 @@
 	}
 }
 
-// mostCalls is how many calls are waited for at once.
-const mostCalls = 3
-
 // begin notes a call and returns when it counts as silent (Unix s). On a connection that has just answered it waits for news;
 // the first one on a new connection waits for nothing. Changes are asked for where they are enough: they are less to send.
 func (w *watch) begin(line *http1.ClientConn, times believe.Watching, silent int) (*call, float64) {
@@ -247,7 +242,7 @@
 		}
 		c.target += "?from=" + strconv.FormatInt(w.version, 10) + "&hold_ms=" + strconv.FormatInt(seconds(hold).Milliseconds(), 10)
 	}
-	if w.open = append(w.open, c); len(w.open) > mostCalls {
+	if w.open = append(w.open, c); len(w.open) > times.Calls {
 		w.mu.Lock()
 		on := w.open[0].on
 		w.mu.Unlock()
@@ -257,11 +252,9 @@
 	return c, late
 }
 
-// ended forgets a call; false = it had been given up.
-func (w *watch) ended(c *call) bool {
-	n := len(w.open)
+// ended forgets a call.
+func (w *watch) ended(c *call) {
 	w.open = slices.DeleteFunc(w.open, func(x *call) bool { return x == c })
-	return len(w.open) < n
 }
 
 // errStopped tells that a watch has been ended by us.
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -16,6 +16,7 @@
 
 	"dillroute/brain"
 	"dillroute/internal/decide/believe"
+	"dillroute/internal/http1"
 	"dillroute/internal/protocol"
 )
 
@@ -101,6 +102,16 @@
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 }
 
+// await waits until e0 drains.
+func (s *source) await() {
+	s.mu.Lock()
+	news, drained := s.news, s.drain
+	s.mu.Unlock()
+	if !drained {
+		<-news
+	}
+}
+
 // change has e0 drain.
 func (s *source) change() {
 	s.mu.Lock()
@@ -153,12 +164,7 @@
 				return false
 			}
 			src := *s
-			src.mu.Lock()
-			news, drained := src.news, src.drain
-			src.mu.Unlock()
-			if !drained {
-				<-news
-			}
+			src.await()
 			text := src.text(false)
 			for _, b := range fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text) {
 				c.Write([]byte{b})
@@ -210,12 +216,7 @@
 			return func(_ int, target string, c net.Conn) bool {
 				if isWatch(target) {
 					src := *s
-					src.mu.Lock()
-					news, drained := src.news, src.drain
-					src.mu.Unlock()
-					if !drained {
-						<-news
-					}
+					src.await()
 					src.write(c, true)
 				}
 				return isWatch(target)
@@ -316,3 +317,27 @@
 		t.Errorf("%d connections are open after the return", n)
 	}
 }
+
+// A call that was given up before it had a connection may be answered all the same: what it was told counts, and its connection
+// is not left open.
+func TestAnAnswerToACallGivenUpCounts(t *testing.T) {
+	s := newSource(t, nil)
+	h := &heard{}
+	d := follow(s.l.Addr().String(), nil, given(t), believe.NewWatching(20), h.take, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	defer d.Close()
+	within(t, "the list", 2*time.Second, func() bool { return h.up.Load() > 0 })
+	on, err := (&http1.Pool{}).Dial(s.l.Addr().String(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &call{}
+	d.watch.hold(c, on)
+	d.watch.replies <- reply{call: c, line: on, a: &answer{Version: 2, Servers: []entry{{ID: "e0", Addr: "127.0.0.1:9", Zone: "z", Kind: "read",
+		Cell: 1, State: "draining", Weight: 1}}}}
+	within(t, "the drain", time.Second, func() bool { return h.drained.Load() > 0 })
+	within(t, "the close", time.Second, func() bool {
+		d.watch.mu.Lock()
+		defer d.watch.mu.Unlock()
+		return !d.watch.conns[on]
+	})
+}
