Engines get the client's end-to-end header fields, the key of a keyed request among them

At fault: relay's attempt, which wrote id, time and content type alone. Change: http1.EndToEnd gives every field but those of one hop (RFC 9110), and attempts carry them.

--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -129,7 +129,7 @@
 	f.log.Debug("asked", "request", q.ID, "class", q.Class, "session", q.Session, "budget", q.TimeLeft, "retry", q.Retry,
 		"returned", q.Returned, "prompt", q.PromptLen, "prefix", q.PrefixLen, "most", q.MaxOut)
 	j := &job{front: f, id: q.ID, x: x, method: x.Method, target: x.Target(), body: x.Body,
-		kind: x.Header.Get("Content-Type"), effect: f.effects[q.Class]}
+		fields: http1.EndToEnd(x.Header, headID, headBudget), effect: f.effects[q.Class]}
 	x.Body, x.Header = nil, nil // j and q hold what is needed
 	if !take(protocol.Asked{Request: q, Job: j}) {
 		say(503, "the node is stopping")
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -22,22 +22,22 @@
 	id             string
 	x              *http1.Exchange
 	method, target string
-	kind           string // of the body
+	fields         []http1.Field // end-to-end fields of the request: the key of a keyed class is among them
 	effect         brain.Effect
 	body           []byte
 }
 
 // Attempt prepares an attempt.
 func (j *job) Attempt(c protocol.Call) protocol.Attempt {
-	return &attempt{engines: j.front.engines, call: c, id: j.id, method: j.method, target: j.target, kind: j.kind, body: j.body,
+	return &attempt{engines: j.front.engines, call: c, id: j.id, method: j.method, target: j.target, fields: j.fields, body: j.body,
 		x: j.x, fresh: !reuse.Kept(j.effect, c.Stage == ending.Prefill)}
 }
 
 // Ended, Granted and Judged: nothing of an engine's is kept, and no engine judges requests in this protocol.
 func (j *job) Ended(int, protocol.Result) {}
 
-// Granted drops the body: a long stream need not hold it.
-func (j *job) Granted() { j.body = nil }
+// Granted drops what engines are sent: a long stream need not hold it.
+func (j *job) Granted() { j.body, j.fields = nil, nil }
 
 // Judged is not met in this protocol.
 func (j *job) Judged(int) protocol.Word { return protocol.Word{Status: 500, Fields: retryFields(0)} }
@@ -73,8 +73,8 @@
 	engines            *Engines
 	call               protocol.Call
 	id, method, target string
-	kind               string
-	fresh              bool // on a connection that has carried nothing yet
+	fields             []http1.Field // of the request, beside its id and the time that is left
+	fresh              bool          // on a connection that has carried nothing yet
 	body               []byte
 	x                  *http1.Exchange
 	load               string // the latest load report of a stream
@@ -110,11 +110,8 @@
 	}
 	fields := []http1.Field{{Name: headID, Value: a.id},
 		{Name: headBudget, Value: strconv.FormatFloat(max(0.001, time.Until(left).Seconds()), 'f', 3, 64)}}
-	if a.kind != "" {
-		fields = append(fields, http1.Field{Name: "Content-Type", Value: a.kind})
-	}
-	resp := a.Exchange(c, until, a.method, a.target, fields, a.body, r)
-	a.body = nil // a long stream need not hold it
+	resp := a.Exchange(c, until, a.method, a.target, append(fields, a.fields...), a.body, r)
+	a.body, a.fields = nil, nil // a long stream need not hold them
 	if resp == nil {
 		if r.Facts.Cause == ending.Broken {
 			a.engines.lost(c)
--- a/lab/platform/engine.go
+++ b/lab/platform/engine.go
@@ -176,6 +176,7 @@
 	}
 	told, _ := strconv.ParseFloat(r.Header.Get("X-Budget"), 64)
 	e.p.mu.Lock()
+	e.p.headers[op.Name] = append(e.p.headers[op.Name], r.Header)
 	e.p.budgets[op.Name] = append(e.p.budgets[op.Name], Budget{told, float64(time.Now().UnixNano()) / 1e9})
 	e.p.mu.Unlock()
 	stage := "decode"
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -24,6 +25,7 @@
 	holds   map[string]map[string]bool // by call: engines that hold something of it
 	ops     map[string]Op              // by call
 	budgets map[string][]Budget        // by name of an op
+	headers map[string][]http.Header   // of the attempts that arrived, by name of an op
 	wg      sync.WaitGroup
 }
 
@@ -44,9 +46,17 @@
 	return slices.Clone(p.budgets[op])
 }
 
+// Headers returns the header fields of the attempts for an op, in order of arrival.
+func (p *Platform) Headers(op string) []http.Header {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.headers[op])
+}
+
 // New returns a platform without engines.
 func New(node string, log *record.Log) *Platform {
-	return &Platform{Log: log, Node: node, engines: map[string]*Engine{}, holds: map[string]map[string]bool{}, ops: map[string]Op{}, budgets: map[string][]Budget{}}
+	return &Platform{Log: log, Node: node, engines: map[string]*Engine{}, holds: map[string]map[string]bool{}, ops: map[string]Op{}, budgets: map[string][]Budget{},
+		headers: map[string][]http.Header{}}
 }
 
 // Add starts an engine; role is read, write or both.
