Engines' late second answers, half bodies and streams without their final event are not taken as whole

Read: a kept connection was given out again at once, so that a second answer that comes some milliseconds late (STANDING, join) would be the next request's; a rejection or a finished read waited for the rest of its body as long as the request had; a chunked stream that ended without [DONE] was passed on as whole. Change: http1.Pool.Settle (50 ms in the relay), bodies of whole answers end within the time of a head, a read stands by its 202, streams need their final event. Also: making a connection ends when its attempt is called off, and a stream that the node ends passes on what has come (20 ms).

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -76,7 +77,9 @@
 func (a *Attempt) open(accept string, r *Result) (*http1.ClientConn, *http1.Response) {
 	start := time.Now()
 	r.Facts.Progress = ending.Dialling
-	c, err := a.Client.Pool.Get(a.Address, min(a.Client.Connect, a.Timeout))
+	c, err := a.Dial(func(ctx context.Context) (*http1.ClientConn, error) {
+		return a.Client.Pool.Get(ctx, a.Address, min(a.Client.Connect, a.Timeout))
+	})
 	if err != nil {
 		r.Err, r.Facts.Cause = err, a.Failed(err, ending.Broken)
 		return nil, nil
@@ -313,7 +316,7 @@
 // Release lets go of a state, by the project's own call. Engines that lack it answer 404, and free the state by
 // their own time-out.
 func (cl *Client) Release(address, id string, n int, _ time.Duration) error {
-	c, err := cl.Pool.Get(address, cl.Connect)
+	c, err := cl.Pool.Get(context.Background(), address, cl.Connect)
 	if err != nil {
 		return err
 	}
--- a/internal/http1/answers_test.go
+++ b/internal/http1/answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -38,7 +39,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	c, err := p.Get(l.Addr().String(), time.Second)
+	c, err := p.Get(context.Background(), l.Addr().String(), time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -93,7 +94,7 @@
 	p := &Pool{MaxIdle: 4, MaxOpen: 2, Idle: time.Minute, Limits: DefaultLimits}
 	a, _ := dialled(t, p)
 	b, _ := dialled(t, p)
-	if _, err := p.Get("127.0.0.1:1", time.Second); !errors.Is(err, ErrNoRoom) {
+	if _, err := p.Get(context.Background(), "127.0.0.1:1", time.Second); !errors.Is(err, ErrNoRoom) {
 		t.Errorf("%v", err)
 	}
 	p.Put(a)
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -26,6 +27,10 @@
 	Limits  Limits
 	// Rest is asked how long a connection may have rested that Get returns; nil = Idle.
 	Rest func() time.Duration
+	// Settle is how long a connection rests at least before it carries another request; 0 = no such time. A server may send a
+	// second answer to a request some moments after the first. It shows as unread bytes, which end the use of a connection, but
+	// only once it has come: read later, it would be taken for the answer to the next request.
+	Settle time.Duration
 	// Chunk bounds the size of one chunk of an answer; 0 = no bound. Head bounds the time from the first byte of an answer
 	// to the end of its head; 0 = no bound but the connection's.
 	Chunk int64
@@ -50,14 +55,17 @@
 	lim   Limits
 	used  time.Time
 	until time.Time // the bound on reads and writes; zero = none
+
+	bounds sync.Mutex // of the two below, and of the order in which deadlines are set
+	last   time.Time  // beyond which no deadline is set any more; zero = Finish was not called
 	// Reused tells that the connection has carried an exchange before.
 	Reused bool
 	// Rested is for how long it had rested then.
 	Rested time.Duration
 }
 
-// Get returns an idle connection that is still open, or makes one within the time given.
-func (p *Pool) Get(addr string, timeout time.Duration) (*ClientConn, error) {
+// Get returns an idle connection that is still open, or makes one within the time given, unless ctx ends before.
+func (p *Pool) Get(ctx context.Context, addr string, timeout time.Duration) (*ClientConn, error) {
 	limit := p.Idle
 	if p.Rest != nil {
 		limit = min(limit, p.Rest())
@@ -73,15 +81,16 @@
 		}
 		c.Close()
 	}
-	return p.Dial(addr, timeout)
+	return p.Dial(ctx, addr, timeout)
 }
 
-// Dial makes a connection within the time given.
-func (p *Pool) Dial(addr string, timeout time.Duration) (*ClientConn, error) {
+// Dial makes a connection within the time given, unless ctx ends before.
+func (p *Pool) Dial(ctx context.Context, addr string, timeout time.Duration) (*ClientConn, error) {
 	if !p.enter() {
 		return nil, ErrNoRoom
 	}
-	nc, err := net.DialTimeout("tcp", addr, timeout)
+	dialer := net.Dialer{Timeout: timeout}
+	nc, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.leave()
 		return nil, err
@@ -120,24 +129,27 @@
 	p.mu.Unlock()
 }
 
+// pop takes out the connection that has rested the shortest of those that have settled; nil = there is none. Connections stand
+// in the order in which they were put back.
 func (p *Pool) pop(addr string) *ClientConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	xs := p.idle[addr]
-	if len(xs) == 0 {
-		return nil
+	for i := len(xs) - 1; i >= 0; i-- {
+		if c := xs[i]; time.Since(c.used) >= p.Settle {
+			p.idle[addr] = slices.Delete(xs, i, i+1)
+			return c
+		}
 	}
-	c := xs[len(xs)-1]
-	p.idle[addr] = xs[:len(xs)-1]
-	return c
+	return nil
 }
 
 // Put gives a connection back after a whole exchange.
 func (p *Pool) Put(c *ClientConn) {
-	c.nc.SetDeadline(time.Time{})
+	c.SetDeadline(time.Time{})
 	c.used = time.Now()
 	p.mu.Lock()
-	keep := !p.closed && len(p.idle[c.addr]) < p.MaxIdle && c.br.Buffered() == 0
+	keep := !p.closed && !c.finishing() && len(p.idle[c.addr]) < p.MaxIdle && c.br.Buffered() == 0
 	if keep {
 		if p.idle == nil {
 			p.idle = map[string][]*ClientConn{}
@@ -231,9 +243,39 @@
 // SetDeadline bounds all reads and writes to come; the zero time lifts the bound.
 func (c *ClientConn) SetDeadline(t time.Time) {
 	c.until = t
+	c.bounds.Lock()
+	defer c.bounds.Unlock()
+	if !c.last.IsZero() && (t.IsZero() || t.After(c.last)) {
+		t = c.last
+	}
 	c.nc.SetDeadline(t)
 }
 
+// Within bounds all reads and writes to come by a time from now, unless they are bounded to end before.
+func (c *ClientConn) Within(d time.Duration) {
+	if by := time.Now().Add(d); c.until.IsZero() || by.Before(c.until) {
+		c.SetDeadline(by)
+	}
+}
+
+// Finish ends the use of the connection within the time given, in which what has come is still read. Unlike the other methods
+// but Close it may be called from any goroutine.
+func (c *ClientConn) Finish(within time.Duration) {
+	c.bounds.Lock()
+	defer c.bounds.Unlock()
+	if c.last.IsZero() {
+		c.last = time.Now().Add(within)
+		c.nc.SetDeadline(c.last)
+	}
+}
+
+// finishing tells whether Finish was called.
+func (c *ClientConn) finishing() bool {
+	c.bounds.Lock()
+	defer c.bounds.Unlock()
+	return !c.last.IsZero()
+}
+
 // Send writes a request with a body and returns how many of all its bytes were handed to the connection, and
 // how many there were.
 func (c *ClientConn) Send(method, path string, fields []Field, body []byte) (sent, all int, err error) {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -405,7 +406,7 @@
 				}
 			}()
 			p := &Pool{MaxIdle: 2, Idle: time.Minute, Limits: DefaultLimits}
-			c, err := p.Get(l.Addr().String(), time.Second)
+			c, err := p.Get(context.Background(), l.Addr().String(), time.Second)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -453,7 +454,7 @@
 	}()
 	p := &Pool{MaxIdle: 2, Idle: time.Minute, Limits: DefaultLimits}
 	defer p.Close()
-	c, err := p.Get(l.Addr().String(), time.Second)
+	c, err := p.Get(context.Background(), l.Addr().String(), time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -462,7 +463,7 @@
 	for c.alive() {
 		time.Sleep(time.Millisecond)
 	}
-	again, err := p.Get(l.Addr().String(), time.Second)
+	again, err := p.Get(context.Background(), l.Addr().String(), time.Second)
 	if err != nil || again == c || again.Reused {
 		t.Fatal("a dead connection was given out", err)
 	}
--- a/internal/members/consul.go
+++ b/internal/members/consul.go
@@ -1,6 +1,7 @@
 package members
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/url"
@@ -75,7 +76,7 @@
 // ask makes one call and returns the answer and its index.
 func (c *consul) ask(index uint64) (answer, uint64) {
 	pool := &http1.Pool{Limits: http1.DefaultLimits}
-	conn, err := pool.Get(c.address, 5*time.Second)
+	conn, err := pool.Get(context.Background(), c.address, 5*time.Second)
 	if err != nil {
 		return answer{err: fmt.Errorf("list server: %w", err)}, 0
 	}
--- a/internal/protocol/hold.go
+++ b/internal/protocol/hold.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -13,23 +14,62 @@
 // Hold is the part of an attempt by which it can be ended from outside, whatever it waits for: the connection that it has,
 // and why it was ended. Its methods may be called from any goroutine.
 type Hold struct {
-	mu      sync.Mutex
-	conn    *http1.ClientConn
-	aborted bool
-	written bool // the request is being written, or was
-	cause   ending.Cause
+	mu        sync.Mutex
+	conn      *http1.ClientConn
+	dialing   context.CancelFunc // ends the making of a connection; nil = none is being made
+	aborted   bool
+	written   bool // the request is being written, or was
+	streaming bool // the client gets what comes
+	cause     ending.Cause
 }
 
-// Abort ends the attempt, for the cause given, by closing its connection; one without a connection ends as soon as it has
-// one.
+// finishWithin is for how long a stream that is called off for the node's own reasons passes on what its engine has sent
+// already: a stream whose end has come is whole.
+const finishWithin = 20 * time.Millisecond
+
+// Dial has a connection made by the function given, whose context ends when the attempt is called off: nothing needs to wait
+// for a connection that would carry nothing.
+func (h *Hold) Dial(get func(ctx context.Context) (*http1.ClientConn, error)) (*http1.ClientConn, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h.mu.Lock()
+	h.dialing = cancel
+	if h.aborted {
+		cancel()
+	}
+	h.mu.Unlock()
+	c, err := get(ctx)
+	h.mu.Lock()
+	h.dialing = nil
+	h.mu.Unlock()
+	return c, err
+}
+
+// Stream notes that the client gets what comes from now on.
+func (h *Hold) Stream() {
+	h.mu.Lock()
+	h.streaming = true
+	h.mu.Unlock()
+}
+
+// Abort ends the attempt, for the cause given, by closing its connection; one without a connection ends at once. A stream
+// that is ended by the node passes on what has come already.
 func (h *Hold) Abort(cause ending.Cause) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.aborted {
-		h.aborted, h.cause = true, cause
-		if h.conn != nil {
-			h.conn.Close()
-		}
+	if h.aborted {
+		return
+	}
+	h.aborted, h.cause = true, cause
+	if h.dialing != nil {
+		h.dialing()
+	}
+	switch {
+	case h.conn == nil:
+	case h.streaming && cause == ending.Overtaken:
+		h.conn.Finish(finishWithin)
+	default:
+		h.conn.Close()
 	}
 }
 
@@ -37,8 +77,12 @@
 func (h *Hold) Withdraw() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.written && !h.aborted {
-		h.aborted, h.cause = true, ending.Overtaken
+	if h.written || h.aborted {
+		return
+	}
+	h.aborted, h.cause = true, ending.Overtaken
+	if h.dialing != nil {
+		h.dialing()
 	}
 }
 
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -63,6 +64,8 @@
 // what the lock guards belongs to its goroutine.
 type watch struct {
 	addr    string
+	ctx     context.Context // ends with the watch
+	cancel  context.CancelFunc
 	stop    chan struct{}
 	replies chan reply
 	open    []*call // that have not ended, the newest last
@@ -122,7 +125,8 @@
 		return
 	}
 	before := d.watch
-	w := &watch{addr: addr, stop: make(chan struct{}), replies: make(chan reply), conns: map[*http1.ClientConn]bool{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &watch{addr: addr, ctx: ctx, cancel: cancel, stop: make(chan struct{}), replies: make(chan reply), conns: map[*http1.ClientConn]bool{}}
 	d.watch = w
 	d.wg.Add(1)
 	go func() { defer d.wg.Done(); d.follow(w, before) }()
@@ -145,6 +149,7 @@
 	if !w.quit {
 		w.quit = true
 		close(w.stop)
+		w.cancel()
 		for c := range w.conns {
 			c.Close()
 		}
@@ -265,7 +270,7 @@
 	r := reply{call: c}
 	on := c.on
 	if on == nil {
-		on, r.err = pool.Dial(w.addr, seconds(d.times.First))
+		on, r.err = pool.Dial(w.ctx, w.addr, seconds(d.times.First))
 	}
 	if r.err == nil {
 		if w.hold(c, on) {
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -326,7 +327,7 @@
 	d := follow(s.l.Addr().String(), nil, given(t), believe.NewWatching(20), h.take, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	defer d.Close()
 	within(t, "the list", 2*time.Second, func() bool { return h.up.Load() > 0 })
-	on, err := (&http1.Pool{}).Dial(s.l.Addr().String(), time.Second)
+	on, err := (&http1.Pool{}).Dial(context.Background(), s.l.Addr().String(), time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/relay/engines.go
+++ b/internal/relay/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"strconv"
@@ -28,7 +29,7 @@
 // NewEngines returns a client of engines that holds at most so many connections.
 func NewEngines(s *settings.Settings, most int) *Engines {
 	e := &Engines{connect: 250 * time.Millisecond, reuse: reuse.New(s.Idle), start: time.Now(),
-		pool: &http1.Pool{MaxIdle: 16, MaxOpen: most, Idle: 10 * time.Second, Limits: answerLimits, Chunk: maxChunk}}
+		pool: &http1.Pool{MaxIdle: 16, MaxOpen: most, Idle: 10 * time.Second, Settle: settle, Limits: answerLimits, Chunk: maxChunk}}
 	if s.Connect > 0 {
 		e.connect = seconds(s.Connect)
 	}
@@ -55,14 +56,18 @@
 	e.reuse.Lost(e.now(), c.Rested.Seconds())
 }
 
-// get returns a connection for an attempt; fresh = one that has carried nothing yet.
-func (e *Engines) get(address string, within time.Duration, fresh bool) (*http1.ClientConn, error) {
+// get returns a connection for an attempt, unless ctx ends before; fresh = one that has carried nothing yet.
+func (e *Engines) get(ctx context.Context, address string, within time.Duration, fresh bool) (*http1.ClientConn, error) {
 	if fresh {
-		return e.pool.Dial(address, min(e.connect, within))
+		return e.pool.Dial(ctx, address, min(e.connect, within))
 	}
-	return e.pool.Get(address, min(e.connect, within))
+	return e.pool.Get(ctx, address, min(e.connect, within))
 }
 
+// settle is how long a connection rests before it carries another request: a second answer may come some milliseconds late
+// (STANDING, join).
+const settle = 50 * time.Millisecond
+
 // Bounds of answers, in bytes.
 const maxChunk = 256 << 10
 
@@ -77,7 +82,7 @@
 
 // Release lets go of all that any engine holds for a request; whichever is asked sees to it.
 func (e *Engines) Release(address, id string, _ int, within time.Duration) error {
-	c, err := e.get(address, within, false)
+	c, err := e.get(context.Background(), address, within, false)
 	if err != nil {
 		return err
 	}
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -100,7 +101,9 @@
 	start := time.Now()
 	until, left := start.Add(a.call.Timeout), start.Add(a.call.Left)
 	r.Facts.Progress = ending.Dialling
-	c, err := a.engines.get(a.call.Address, a.call.Timeout, a.fresh)
+	c, err := a.Dial(func(ctx context.Context) (*http1.ClientConn, error) {
+		return a.engines.get(ctx, a.call.Address, a.call.Timeout, a.fresh)
+	})
 	if err != nil {
 		r.Err, r.Facts.Cause = err, a.Failed(err, ending.Broken)
 		if errors.Is(err, http1.ErrNoRoom) || http1.NoFiles(err) {
@@ -125,7 +128,7 @@
 // maxReply bounds whole answers, in bytes.
 const maxReply = 64 << 10
 
-// whole reads a whole answer: a prompt that was read, a rejection or an error. A rejection stands by its head.
+// whole reads a whole answer: a prompt that was read, a rejection or an error. All but an error stand by their heads.
 func (a *attempt) whole(c *http1.ClientConn, resp *http1.Response, r *protocol.Result) {
 	rejected := resp.Header.Get(headNotRun) == "1"
 	switch {
@@ -138,12 +141,13 @@
 	default:
 		r.Facts.Meaning = ending.Error
 	}
+	c.Within(a.engines.pool.Head) // the head has said what matters; its body is not to use up the request's time
 	body, err := resp.ReadAll(maxReply)
 	a.Detach()
 	if err != nil {
 		c.Close()
 		r.Err = err
-		if r.Facts.Meaning == ending.Read || r.Facts.Meaning == ending.Error {
+		if r.Facts.Meaning == ending.Error {
 			r.Facts.Cause = a.Failed(err, ending.Expired)
 		}
 		return
@@ -160,8 +164,14 @@
 // within 5 s of a running engine's last event (PROTOCOL, figures).
 const silence = 4500 * time.Millisecond
 
-// errNoEvent tells of a stream that is none.
-var errNoEvent = errors.New("relay: a stream without an event")
+// finalEvent is the data of the event that ends a stream (PROTOCOL, nodes to engines).
+const finalEvent = "[DONE]"
+
+// Errors of streams that are not whole.
+var (
+	errNoEvent = errors.New("relay: a stream without an event")
+	errNoFinal = errors.New("relay: a stream that ended without its final event")
+)
 
 // stream passes the answer on.
 func (a *attempt) stream(c *http1.ClientConn, resp *http1.Response, h protocol.Host, r *protocol.Result) {
@@ -187,11 +197,16 @@
 	defer events.Close()
 	events.Comment = a.comment
 	var pending []byte
+	final := false // the event that ends every stream has come
 	for begun := false; ; begun = true {
 		data, raw, err := events.Next()
+		if err == io.EOF && begun && !final {
+			err = errNoFinal
+		}
 		if err != nil {
 			return a.over(err, begun, pending)
 		}
+		final = string(data) == finalEvent
 		if !begun {
 			if !isEvent(data) {
 				return ending.Unreadable, errNoEvent
@@ -200,6 +215,7 @@
 				return a.Failed(nil, ending.Broken), nil
 			}
 			r.Facts.Progress = ending.Streaming
+			a.Stream()
 			if err := a.x.Begin(200, []http1.Field{{Name: "Content-Type", Value: "text/event-stream"}}); err != nil {
 				return ending.ClientLeft, err
 			}
--- a/lab/platform/engine.go
+++ b/lab/platform/engine.go
@@ -32,6 +32,12 @@
 	Interim      Fault = "interim"       // good: 1xx answers in front
 	BadReport    Fault = "bad report"    // good: a load report that cannot be read
 	SecondAnswer Fault = "second answer" // good: another answer right behind
+	LateAnswer   Fault = "late answer"   // good: another answer some milliseconds behind
+	NoFinal      Fault = "no final"      // the stream ends in good order without its final event
+	CutLast      Fault = "cut last"      // the connection breaks within the last chunk
+	Comments     Fault = "comments"      // in mid-stream, comments without end in place of events
+	HalfReject   Fault = "half reject"   // a rejection whose body does not end
+	HalfRead     Fault = "half read"     // a read whose answer's body does not end
 	Error500     Fault = "500"
 	Rejects      Fault = "rejects" // 503 with the word that it never ran
 	Plain503     Fault = "503"     // without it
@@ -235,6 +241,8 @@
 		return false
 	case Rejects:
 		return reply(c, 503, "X-Rejected: 1\r\n", "")
+	case HalfReject:
+		return halfReply(c, "503 x\r\nX-Rejected: 1", gone)
 	case CutBefore: // it ended well just then
 		e.p.hold(call, e.ID)
 		return false
@@ -246,10 +254,31 @@
 	}
 	e.p.hold(call, e.ID)
 	head := "X-Load-Report: util=0.2,queue=0,x0=0.1\r\n"
-	if fault == BadReport {
+	switch fault {
+	case BadReport:
 		head = "X-Load-Report: util=often\r\n"
+	case HalfRead:
+		return halfReply(c, "202 x", gone)
 	}
-	return reply(c, 202, head, `{"cached_tokens":12}`)
+	return reply(c, 202, head, `{"cached_tokens":12}`) && (fault != LateAnswer || second(c))
+}
+
+// halfReply gives an answer whose body does not come to its length, and says nothing more.
+func halfReply(c net.Conn, head string, gone <-chan struct{}) bool {
+	fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: 20\r\n\r\n{\"cached", head)
+	<-gone
+	return false
+}
+
+// late is how late a late second answer comes.
+const late = 10 * time.Millisecond
+
+// second gives a late second answer, with a stream that no client asked for.
+func second(c net.Conn) bool {
+	time.Sleep(late)
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"+
+		"30\r\ndata: {\"choices\":[{\"delta\":{\"content\":\"no\"}}]}\n\n\r\n0\r\n\r\n")
+	return err == nil
 }
 
 // write makes the answer; false = the connection ends.
@@ -257,6 +286,8 @@
 	switch {
 	case fault == Rejects:
 		return reply(c, 503, "X-Rejected: 1\r\n", "")
+	case fault == HalfReject:
+		return halfReply(c, "503 x\r\nX-Rejected: 1", gone)
 	case fault == NoState || e.Role == "write" && e.p.holder(call) == "":
 		e.p.release(call, "lost")
 		return reply(c, 410, "X-Rejected: 1\r\n", "")
@@ -306,6 +337,11 @@
 			case Silent:
 				<-gone
 				return false
+			case Comments:
+				for chunk(c, ": still here\n\n") {
+					time.Sleep(late)
+				}
+				return false
 			case BadChunk:
 				io.WriteString(c, "zz\r\ndata: spoilt\n\n\r\n")
 				<-gone
@@ -339,10 +375,19 @@
 		report = "util=often"
 	}
 	chunk(c, "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":20,\"completion_tokens\":9,\"prompt_tokens_details\":{\"cached_tokens\":4}}}\n\n")
-	chunk(c, "data: [DONE]\n\n: X-Load-Report: "+report+"\n\n")
+	if fault != NoFinal {
+		chunk(c, "data: [DONE]\n\n: X-Load-Report: "+report+"\n\n")
+	}
+	if fault == CutLast {
+		io.WriteString(c, "0\r\n")
+		return false
+	}
 	io.WriteString(c, "0\r\n\r\n")
-	if fault == SecondAnswer {
+	switch fault {
+	case SecondAnswer:
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+	case LateAnswer:
+		return second(c)
 	}
 	return true
 }
