A stop without resume takes nothing that SIGKILL could cut; a state's release waits for no cut read's

Change: without resume requests are taken for 0.6 s of a stop. Releases of a state and of what a broken attempt left are owed apart, the latter's wait counts from the break; first calls that release are short where any engine will do.

--- a/internal/cli/relay_test.go
+++ b/internal/cli/relay_test.go
@@ -44,7 +44,7 @@
 			t.Fatal(err)
 		}
 	}
-	write(platform.Config(addr, d.Addr(), d.List(), 96, 256))
+	write(platform.Config(platform.Settings, addr, d.Addr(), d.List(), 96, 256))
 	cmd := exec.Command(os.Args[0], "serve", "--relay")
 	cmd.Env = append(os.Environ(), "DILLROUTE_AS_PROGRAM=1", "RELAY_CONFIG="+file)
 	var logs bytes.Buffer
@@ -107,7 +107,7 @@
 	pause()
 	old := d.Server()
 	d.Open()
-	write(platform.Config(addr, d.Addr(), d.List(), 96, 256))
+	write(platform.Config(platform.Settings, addr, d.Addr(), d.List(), 96, 256))
 	cmd.Process.Signal(syscall.SIGHUP)
 	cmd.Process.Signal(syscall.SIGHUP)
 	time.Sleep(500 * time.Millisecond)
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -58,12 +58,12 @@
 }
 
 // Release lets go of the state that an engine may hold from the attempt N; with Config.ReleaseAll, of all that is held
-// for the request. Wanted tells whether it may still be made. Cut tells that the attempt was broken off, so that its
-// engine may hold something only a moment later.
+// for the request. Wanted tells whether it may still be made. CutAt is when the attempt was broken off, in which case its
+// engine may hold something only a moment later; 0 = what is to be released is held already.
 type Release struct {
 	ID, Engine string
 	N          int
-	Cut        bool
+	CutAt      float64
 }
 
 // Answer is the node's own final answer to a client.
@@ -126,9 +126,9 @@
 	concluded bool    // the client has its answer, or has gone
 	rejected  int     // code by which an engine has judged the request
 	farewell  *Answer // given once the attempt that streams has stopped writing
-	owed      string  // ReleaseAll: an engine that may hold what is to be let go of; "" = nothing is
-	owedN     int     // by this attempt
-	owedCut   bool    // which was broken off
+	// ReleaseAll: releases that are owed, each nil = none is.
+	owed    *Release // of a state that is held
+	owedCut *Release // of what an attempt that was broken off may have left
 }
 
 // attempt returns an attempt by its number; nil = it was never begun.
@@ -426,7 +426,7 @@
 	}
 	l.letGo(id, e, Release{Engine: e.state, N: e.stateN})
 	e.state = ""
-	l.flush(id, e)
+	l.flush(e)
 	l.settle(id, e)
 }
 
@@ -434,21 +434,29 @@
 func (l *Ledger) letGo(id string, e *entry, r Release) {
 	r.ID = id
 	if !l.cfg.ReleaseAll {
+		r.CutAt = 0
 		l.do(r)
 		return
 	}
-	if e.owed == "" {
-		e.owed, e.owedN = r.Engine, r.N
+	if r.CutAt > 0 {
+		e.owedCut = &r
+	} else {
+		e.owed = &r
 	}
-	e.owedCut = e.owedCut || r.Cut
 }
 
-// flush makes the release that is owed once no attempt is out and no state is wanted.
-func (l *Ledger) flush(id string, e *entry) {
-	if e.owed != "" && e.out == 0 && e.state == "" {
-		l.do(Release{id, e.owed, e.owedN, e.owedCut})
-		e.owed, e.owedCut = "", false
+// flush makes the releases that are owed once no attempt is out and no state is wanted. That of a state does not wait for the
+// moment which that of an attempt broken off needs: the next attempt may be begun before it has passed.
+func (l *Ledger) flush(e *entry) {
+	if e.out > 0 || e.state != "" {
+		return
+	}
+	for _, r := range []*Release{e.owed, e.owedCut} {
+		if r != nil {
+			l.do(*r)
+		}
 	}
+	e.owed, e.owedCut = nil, nil
 }
 
 // Wanted is asked before a release is tried again. Where it would take what has come since, it is owed anew.
@@ -538,7 +546,7 @@
 		l.letGo(id, e, Release{Engine: e.state, N: e.stateN})
 		e.state = ""
 	}
-	l.flush(id, e)
+	l.flush(e)
 	delete(l.open, id)
 	l.do(Forget{id})
 }
@@ -593,8 +601,8 @@
 	if v.Ran && !e.ran {
 		e.ran, e.ranOn, e.ranAt = true, t.engine, t.sentAt
 	}
-	l.states(id, e, n, v)
-	l.flush(id, e)
+	l.states(now, id, e, n, v)
+	l.flush(e)
 	closed := l.closes(id, e, n, v)
 	l.emit(brain.Outcome{ID: id, Attempt: n, Engine: t.engine, Status: v.Status, Info: v.Info,
 		Spent: now - t.sentAt, Closed: closed || e.concluded, Report: rep})
@@ -611,7 +619,7 @@
 }
 
 // states keeps the book of the state that waits at a reader.
-func (l *Ledger) states(id string, e *entry, n int, v ending.Verdict) {
+func (l *Ledger) states(now float64, id string, e *entry, n int, v ending.Verdict) {
 	t := e.attempt(n)
 	switch {
 	case v.Status == brain.Parsed:
@@ -621,7 +629,7 @@
 		e.state, e.stateN = t.engine, n
 	case v.Holds, l.cfg.ReleaseAll && !t.withState && v.Ran && v.Status != brain.Served:
 		// Cut reads may have ended well, and an engine that read for itself keeps what it has read.
-		l.letGo(id, e, Release{Engine: t.engine, N: n, Cut: true})
+		l.letGo(id, e, Release{Engine: t.engine, N: n, CutAt: now})
 	case t.took(e) && (v.Status == brain.TurnedAway && v.Info == 1 || v.Status == brain.Served && !v.Final):
 		if l.cfg.ReleaseAll && v.Status == brain.TurnedAway { // gone for the writer; the reader may know better
 			l.letGo(id, e, Release{Engine: e.state, N: e.stateN})
--- a/internal/decide/ledger/releaseall_test.go
+++ b/internal/decide/ledger/releaseall_test.go
@@ -35,7 +35,7 @@
 	n := decode(t, l, 1.3, "a", "w0")
 	l.First(1.4, "a", n)
 	l.Ended(1.5, "a", n, ending.Facts{Progress: ending.Streaming, Cause: ending.Answered, Meaning: ending.Done}, nil)
-	if rs := find[Release](l); len(rs) != 1 || rs[0].Engine != "r0" || !rs[0].Cut {
+	if rs := find[Release](l); len(rs) != 1 || rs[0].Engine != "r0" || rs[0].CutAt != 1.1 {
 		t.Fatalf("%v", rs)
 	}
 }
@@ -153,3 +153,32 @@
 		}
 	})
 }
+
+// The state of a read is released at once though something else is owed of an attempt that was broken off before: the next
+// attempt is begun in the same pass, and would put both off. What is left of the other is owed until that attempt has ended.
+func TestStateIsReleasedBeforeTheNextAttempt(t *testing.T) {
+	l := allBook()
+	l.Request(1, request("a", 0), 0)
+	l.Apply(1, brain.Send{ID: "a", Engine: "r0"})
+	l.Take()
+	l.Ended(1.1, "a", 0, ending.Facts{Progress: ending.Written, Cause: ending.Stopped}, nil)
+	cut := find[Release](l)
+	if len(cut) != 1 || cut[0].CutAt != 1.1 {
+		t.Fatalf("got %v, want the release of what was broken off at 1.1", cut)
+	}
+	l.Apply(1.1, brain.Send{ID: "a", Engine: "r1"})
+	l.Take()
+	if l.Wanted(cut[0]) {
+		t.Fatal("released over a read that is out")
+	}
+	l.Ended(1.2, "a", 1, ending.Facts{Progress: ending.Headed, Cause: ending.Answered, Meaning: ending.Read}, nil)
+	n := decode(t, l, 1.2, "a", "w0")
+	l.Ended(1.45, "a", n, ending.Facts{Progress: ending.Dialling, Cause: ending.Broken}, nil)
+	l.Take()
+	l.Apply(1.45, brain.Release{ID: "a"})
+	l.Apply(1.45, brain.Send{ID: "a", Engine: "w0"})
+	rs := find[Release](l)
+	if len(rs) == 0 || rs[0].CutAt != 0 || rs[0].Engine != "r1" {
+		t.Fatalf("got %v, want the state at r1 released at once", rs)
+	}
+}
--- a/internal/decide/letgo/letgo.go
+++ b/internal/decide/letgo/letgo.go
@@ -44,11 +44,11 @@
 	return min(now+wait, p.By), true
 }
 
-// Ready says when the first call may be made: at once, but where an attempt was broken off a little later, for its engine
-// may take it up only then.
-func Ready(now float64, cut bool) float64 {
-	if cut {
-		return now + settle
+// Ready says when the first call may be made: at once, but where an attempt was broken off just before (cutAt; 0 = none was) a
+// little after that, for its engine may take it up only then.
+func Ready(now, cutAt float64) float64 {
+	if cutAt > 0 {
+		return max(now, cutAt+settle)
 	}
 	return now
 }
@@ -60,11 +60,18 @@
 // attempt's own time runs on.
 const Ahead = 0.015
 
-// Within is how long one call may take (s): a part of the time that is left, so that others can be asked after it.
-func (p *Plan) Within(now float64) float64 { return max(leastCall, (p.By-now)/callPart) }
+// Within is how long one call may take (s). Where any engine will do the first calls are short, so that one that is silent
+// costs little of the time; else a call gets a part of the time that is left.
+func (p *Plan) Within(now float64) float64 {
+	part := (p.By - now) / callPart
+	if p.Any {
+		part = min(part, leastCall*(1+float64(p.Tries)/2))
+	}
+	return max(leastCall, part)
+}
 
 const (
-	leastCall = 0.05 // s
+	leastCall = 0.05 // s, a few times what a connection and an answer take
 	callPart  = 4.0
 )
 
--- a/internal/decide/letgo/letgo_test.go
+++ b/internal/decide/letgo/letgo_test.go
@@ -64,9 +64,27 @@
 	if w := p.Within(12); w <= 0 {
 		t.Errorf("a call has %g s", w)
 	}
-	if Ready(5, false) != 5 || Ready(5, true) <= 5 {
+	if Ready(5, 0) != 5 || Ready(5, 5) <= 5 {
 		t.Error("only what was cut waits")
 	}
+	if at := Ready(5, 4.5); at != 5 {
+		t.Errorf("what was cut long ago is released at %g, want 5: at once", at)
+	}
+}
+
+// Where any engine will do, two that are silent use up little of even a short time to release.
+func TestSilentEnginesLeaveTimeForOthers(t *testing.T) {
+	p := Plan{By: 10.3, Any: true}
+	now := 10.0
+	for range 2 {
+		now += p.Within(now)
+		if at, again := p.Next(now, Lost); !again || at != now {
+			t.Fatalf("again %v at %g, want at once", again, at)
+		}
+	}
+	if now > 10.15 {
+		t.Errorf("two silent engines took %g s of 0.3", now-10)
+	}
 }
 
 func TestAnotherEngineIsAskedAtOnce(t *testing.T) {
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -144,7 +144,7 @@
 func (n *Node) release(now float64, cmd ledger.Release) {
 	plan := letgo.Plan{By: now + n.plan.letGoBy, Any: n.plan.anyone}
 	n.releasing++
-	if at := letgo.Ready(now, cmd.Cut && n.plan.anyone); at > now {
+	if at := letgo.Ready(now, cmd.CutAt); at > now {
 		n.core.wheel.Add(at, func(now float64) { n.releaseAgain(now, cmd, plan) })
 		return
 	}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -53,7 +53,7 @@
 			Slack: rules.AnswerSlack + relay.Slack.Seconds()/2, DrainGrace: rules.DrainGrace, ReleaseAll: true},
 		strain: strain.Limits{Files: cfg.Limits.Sockets, Connections: parts.Clients, Bytes: parts.Bytes,
 			Slack: rules.AnswerSlack + relay.Slack.Seconds()/2},
-		times: relay.Times, limits: relay.RequestLimits, lobby: parts.Lobby}
+		times: relay.ServerTimes(s.Resume), limits: relay.RequestLimits, lobby: parts.Lobby}
 }
 
 // LongestStop is how long a stop may wait for answers that run.
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -24,20 +24,27 @@
 
 // stage is a node on the stand-in of the users' platform.
 type stage struct {
-	t       *testing.T
-	log     *record.Log
-	p       *platform.Platform
-	d       *platform.Discovery
-	node    *node.RelayNode
-	file    string
-	ops     int
-	stopped bool
+	t        *testing.T
+	log      *record.Log
+	p        *platform.Platform
+	d        *platform.Discovery
+	node     *node.RelayNode
+	file     string
+	settings string
+	ops      int
+	stopped  bool
 }
 
 // newStage starts engines by id and role ("r0 read") and a node with the limits given.
 func newStage(t *testing.T, memoryMB, sockets int, engines ...string) (*stage, map[string]*platform.Engine) {
 	t.Helper()
-	s := &stage{t: t, log: &record.Log{}, file: filepath.Join(t.TempDir(), "config.json")}
+	return newStageWith(t, platform.Settings, memoryMB, sockets, engines...)
+}
+
+// newStageWith is newStage with a settings object of the test's own.
+func newStageWith(t *testing.T, settings string, memoryMB, sockets int, engines ...string) (*stage, map[string]*platform.Engine) {
+	t.Helper()
+	s := &stage{t: t, log: &record.Log{}, settings: settings, file: filepath.Join(t.TempDir(), "config.json")}
 	s.p = platform.New("n0", s.log)
 	byID := map[string]*platform.Engine{}
 	var all []*platform.Engine
@@ -74,7 +81,7 @@
 
 func (s *stage) write(memoryMB, sockets int) {
 	s.t.Helper()
-	if err := platform.WriteConfig(s.file, platform.Config("127.0.0.1:0", s.d.Addr(), s.d.List(), memoryMB, sockets)); err != nil {
+	if err := platform.WriteConfig(s.file, platform.Config(s.settings, "127.0.0.1:0", s.d.Addr(), s.d.List(), memoryMB, sockets)); err != nil {
 		s.t.Fatal(err)
 	}
 }
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -20,6 +20,7 @@
 	read     time.Time // when the first read ended
 	released time.Time // when the first release was made
 	began    time.Time // when the attempt that followed upon it began
+	cut      bool      // the first read is broken off
 	said     chan struct{}
 }
 
@@ -44,7 +45,7 @@
 	time.Sleep(callTakes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.released.IsZero() {
+	if s.released.IsZero() && !s.read.IsZero() {
 		s.released = time.Now()
 	}
 	return nil
@@ -65,6 +66,10 @@
 	if a.call.Stage == ending.Prefill {
 		a.s.mu.Lock()
 		defer a.s.mu.Unlock()
+		if a.s.cut {
+			a.s.cut = false
+			return protocol.Result{Facts: ending.Facts{Progress: ending.Written, Cause: ending.Broken}}
+		}
 		if a.s.read.IsZero() {
 			a.s.read = time.Now()
 		}
@@ -77,15 +82,20 @@
 // A state is released as soon as it is let go of, though the next attempt goes out in the same pass and takes long to fail: while
 // connections fail to come up, the time of what is held runs on. The attempt goes behind the release, which would take what it brings.
 func TestReleaseDoesNotWaitForTheNextAttempt(t *testing.T) {
+	t.Run("one read", func(t *testing.T) { releaseInTime(t, &slowDials{}) })
+	t.Run("a read broken off before", func(t *testing.T) { releaseInTime(t, &slowDials{cut: true}) })
+}
+
+func releaseInTime(t *testing.T, s *slowDials) {
 	const letGoBy = 0.3
 	kinds := []brain.Kind{{Role: brain.Read, Memory: 2e5}, {Role: brain.Write, Memory: 2e5}}
 	classes := []brain.Class{{Effect: brain.Repeatable, Aim: 1, HardLimit: 4, TokenAim: 0.06, Worth: 1, LateValue: 0.3}}
 	cfg := brain.Config{Balancers: 1, Zones: 1, Tick: 0.002, Classes: classes, Kinds: kinds, Tenants: []brain.Tenant{{}},
-		Limits: brain.Limits{MaxAttempts: 4, Cancel: true},
+		Limits: brain.Limits{MaxAttempts: 6, Cancel: true},
 		Rules:  brain.Rules{ColdShare: 0.25, ColdFor: 1, FallMultiple: 4, TipAfter: 1, LetGoBy: letGoBy, AskEvery: 10, DrainGrace: 0.25}}
-	s := &slowDials{said: make(chan struct{})}
+	s.said = make(chan struct{})
 	n, err := newNode(plan{brain: cfg, tick: cfg.Tick, letGoBy: letGoBy, anyone: true, strain: strain.Limits{Connections: 10},
-		book: ledger.Config{Classes: classes, MaxOpen: 8, MaxAttempts: 4, Slack: 0.05, DrainGrace: 0.25, ReleaseAll: true}},
+		book: ledger.Config{Classes: classes, MaxOpen: 8, MaxAttempts: 6, Slack: 0.05, DrainGrace: 0.25, ReleaseAll: true}},
 		options{log: slog.New(slog.NewTextHandler(io.Discard, nil)), seed: 1})
 	if err != nil {
 		t.Fatal(err)
@@ -93,8 +103,8 @@
 	n.caller, n.lists = s, s
 	n.go_(n.core.run)
 	defer func() { n.core.post(func(float64) { n.core.quit = true }); n.loops.Wait(); n.running.wait() }()
-	n.takeList(protocol.List{Form: brain.ListFull, Addresses: map[string]string{"r0": "x", "w0": "x", "w1": "x", "w2": "x"},
-		Engines: []brain.Engine{{ID: "r0", Kind: 0, Weight: 1}, {ID: "w0", Kind: 1, Weight: 1}, {ID: "w1", Kind: 1, Weight: 1}, {ID: "w2", Kind: 1, Weight: 1}}})
+	n.takeList(protocol.List{Form: brain.ListFull, Addresses: map[string]string{"r0": "x", "r1": "x", "w0": "x", "w1": "x", "w2": "x"},
+		Engines: []brain.Engine{{ID: "r0", Kind: 0, Weight: 1}, {ID: "r1", Kind: 0, Weight: 1}, {ID: "w0", Kind: 1, Weight: 1}, {ID: "w1", Kind: 1, Weight: 1}, {ID: "w2", Kind: 1, Weight: 1}}})
 	n.core.post(func(now float64) {
 		n.core.book.Request(now, brain.Request{ID: "a", TimeLeft: 4, PromptLen: 1000, MaxOut: 100}, 0)
 		n.calls["a"] = &call{id: "a", job: s, attempts: map[int]try{}, grants: map[int]chan bool{}}
--- a/internal/relay/sizes.go
+++ b/internal/relay/sizes.go
@@ -25,9 +25,20 @@
 	mostCounts  = 3 * time.Second
 	stopAccepts = 550 * time.Millisecond // new connections come for 0.4 s
 	stopTakes   = 2 * time.Second        // clients use those that they have for as long as these stay open
+	stopWhole   = 600 * time.Millisecond // what comes later than 0.7 s must have ended before SIGKILL, its stream too
 	stopSpare   = 300 * time.Millisecond // kept for the last words
 )
 
+// ServerTimes are the times of the clients' side. Where clients do not come again for the rest of a stream (resume), none that
+// runs may be ended, so that a node which is told to stop takes only what may still be running when it is killed.
+func ServerTimes(resume bool) http1.Times {
+	t := Times
+	if !resume {
+		t.DrainIdle = stopWhole
+	}
+	return t
+}
+
 // StopBy is within what a node that is told to stop must have answered.
 func StopBy(patience float64) time.Duration {
 	return min(mostCounts, seconds(patience)) + killAfter - stopSpare
--- a/lab/platform/settings.go
+++ b/lab/platform/settings.go
@@ -16,14 +16,14 @@
 "retry_after":true,"max_retry_after_s":1},"localities":["z"],"machine_types":["read","write","both"],"rank":0,"registry_mode":"pushed",
 "report":{"fields":["cpu","waiting","x0"],"how":"inline"},"tariffs":{"waste":0.03},"tick_s":0.002,"zone":0}`
 
-// Config is the text of a node's configuration file.
-func Config(listen, discovery string, known []byte, memoryMB, sockets int) []byte {
+// Config is the text of a node's configuration file, with the settings object given.
+func Config(settings, listen, discovery string, known []byte, memoryMB, sockets int) []byte {
 	if known == nil {
 		known = []byte("null")
 	}
 	b, err := json.Marshal(map[string]any{"name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets}, "known": json.RawMessage(known),
-		"settings": json.RawMessage(Settings)})
+		"settings": json.RawMessage(settings)})
 	if err != nil {
 		panic(err) // of this file's own text
 	}
