Keyed requests are read again only within group and window; shared discovery is not kept overloaded

At fault: ledger.objection and brain.readers asked for writers alone. Change: reads obey group and window; an attempt is told when it must be written (connections may come up late); SharedPace where the settings say on_request: first calls spread over 0.8 of ask_every_s, waits by chance up to it, 2 s for a queued answer.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -751,7 +751,7 @@
 // the same at all routers. A hot beginning has homes by its part of our arrivals; sessions share them.
 func (r *Router) readers(q *request) []*engine {
 	xs := q.others(r.pool(func(e *engine) bool {
-		return (e.role == Read || e.role == Mixed && r.maySend(q, e)) && r.coldRoom(q, e)
+		return e.role != Write && r.maySend(q, e) && r.coldRoom(q, e)
 	}))
 	key := q.Prefix
 	if key == "" {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -173,6 +173,25 @@
 	one[Fail](t, acts)
 }
 
+// A keyed request that is to be read anew, after an attempt that may have run, is read within its group or not at all:
+// whatever is sent then counts as a repeat.
+func TestByKeyReadsStayInItsGroup(t *testing.T) {
+	m := fleet()
+	m.Engines = append(m.Engines, eng("w0b", 1, 0), eng("w1b", 1, 1))
+	r := start(t, testConfig(), m)
+	_, w := read(t, r, 1, ask("a", 2))
+	s := one[Send](t, r.Step(1.2, []Event{Outcome{ID: "a", Attempt: 1, Engine: w, Status: ServerError}}))
+	gone := eng("r"+w[1:2], 0, int(w[1]-'0'))
+	gone.State = Removed
+	acts := r.Step(1.3, []Event{Members{Form: ListChanges, Engines: []Engine{gone}},
+		Outcome{ID: "a", Attempt: 2, Engine: s.Engine, Status: TurnedAway, Info: 1}}) // its state is gone as well
+	for _, x := range of[Send](acts) {
+		if x.Engine[1] != w[1] {
+			t.Fatalf("read anew at %s, after an attempt at %s", x.Engine, w)
+		}
+	}
+}
+
 func TestNothingGoesToDrainingOrGone(t *testing.T) {
 	for _, state := range []EngineState{Draining, Removed} {
 		r := start(t, testConfig(), fleet())
--- a/internal/decide/believe/watch.go
+++ b/internal/decide/believe/watch.go
@@ -11,9 +11,51 @@
 	Idle  float64 // between two bytes of an answer: one that comes slowly is not one that has stopped
 	Whole float64 // for a whole answer, from its first byte
 	Most  float64 // for the first byte of a call that has been silent, while others have been made beside it
+	Slow  float64 // the longest between two calls that are made beside silent ones
 	Calls int     // that are waited for at once; the oldest makes room
 }
 
+// Pace is how a source of lists is followed.
+type Pace struct {
+	Watching
+	Spread float64       // over which the first calls of nodes that start together are spread
+	Asker  func() *Asker // makes what says when to call again
+}
+
+// AgentPace is the pace for a source that is the node's own, on its machine: it answers at once and at no cost, and what it
+// has counts as told. told is when a change counts as told whatever became of calls.
+func AgentPace(told float64, draw func() float64) Pace {
+	return Pace{Watching: NewWatching(told), Asker: func() *Asker { return NewWatcher(draw) }}
+}
+
+// SharedPace is the pace for a source that all nodes ask, which can answer each of them only every few seconds and turns away
+// what would wait for longer than its time-out. Nodes that ask again at once keep it overloaded for ever: after a failure each
+// waits by chance, for up to the time in which a node is expected to ask (askEvery, s), and those that start with a list that
+// was known before spread their first calls over most of it. An answer may be queued for that time-out, so that a call which
+// waits for nothing is not silent before.
+func SharedPace(told, askEvery float64, draw func() float64) Pace {
+	w := NewWatching(told)
+	w.Hold, w.First = sharedHold*told, sharedTimeout*told
+	w.Slow, w.Calls = max(w.First, askEvery/2), sharedCalls
+	asker := func() *Asker {
+		a := NewWatcher(draw)
+		a.Least, a.Most = sharedLeast, max(sharedMost, askEvery)
+		return a
+	}
+	return Pace{Watching: w, Spread: sharedSpread * askEvery, Asker: asker}
+}
+
+// Figures of a shared source. Its time-out is a third of the time after which a change counts as told (2 s of 6 s; PROTOCOL,
+// figures), and a silent watch, its end and one queued answer are to fit into that time.
+const (
+	sharedHold    = 1.0 / 3
+	sharedTimeout = 1.0 / 3
+	sharedCalls   = 2
+	sharedLeast   = 0.5 // s before the first further call
+	sharedMost    = 2.0 // s that the longest wait is at least
+	sharedSpread  = 0.8 // of the time in which a node is expected to ask
+)
+
 // Shares of the time after which a change counts as told. Those of a silent watch and of two more calls that are silent or fail,
 // each with the longest wait of a Watcher after it, add up to less than the whole (TestAChangeIsHeardInTime walks them).
 const (
@@ -29,7 +71,7 @@
 // NewWatching returns the times for a source whose changes count as told after so long (s).
 func NewWatching(told float64) Watching {
 	return Watching{Hold: holdPart * told, Late: latePart * told, First: firstPart * told, Idle: firstPart * told,
-		Whole: wholePart * told, Most: mostPart * told, Calls: calls}
+		Whole: wholePart * told, Most: mostPart * told, Slow: slowPart * told, Calls: calls}
 }
 
 // Silent is when a watch that was begun at a time counts as silent, if no byte has come.
@@ -38,6 +80,5 @@
 // Patience is when a call that was begun at a time and has nothing to wait for counts as silent, so many having been silent
 // before it: the longer an outage, the fewer calls are made into it.
 func (w Watching) Patience(begun float64, silent int) float64 {
-	most := w.Most / mostPart * slowPart
-	return begun + min(most, w.First*float64(int(1)<<min(max(0, silent-1), 8)))
+	return begun + min(w.Slow, w.First*float64(int(1)<<min(max(0, silent-1), 8)))
 }
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -33,7 +33,8 @@
 // Command is something that the host is to carry out.
 type Command interface{ command() }
 
-// Start begins an attempt. Timeout is in seconds, 0 = none but the client's own.
+// Start begins an attempt. Timeout is in seconds, 0 = none but the client's own. WriteBy is when its request must have been
+// written, for a repeat is known as one for so long only; 0 = at any time.
 type Start struct {
 	ID, Engine string
 	N          int
@@ -41,6 +42,7 @@
 	State      bool // a state waits and is to be fetched
 	StateN     int  // from this attempt
 	Timeout    float64
+	WriteBy    float64
 }
 
 // Abort ends an attempt that is out, for the cause given; its end is still to be reported.
@@ -345,10 +347,11 @@
 		l.emit(brain.Outcome{ID: a.ID, Attempt: n, Engine: a.Engine, Status: brain.NotSent, Closed: e.concluded})
 		return
 	}
+	writeBy := l.repeatBy(e) // of the attempts before this one
 	e.attempts = append(e.attempts, t)
 	e.out++
 	l.do(Start{ID: a.ID, Engine: a.Engine, N: n, Stage: t.stage, State: t.withState, StateN: e.stateN,
-		Timeout: a.Timeout})
+		Timeout: a.Timeout, WriteBy: writeBy})
 }
 
 // overtaken is the one objection that is nobody's fault: the client left, or the answer began, while the module
@@ -366,23 +369,19 @@
 		return "no list has named this engine"
 	case s.state != brain.Ready && now > s.since+l.cfg.DrainGrace:
 		return "the engine drains or is gone"
-	case t.stage == ending.Decode && !l.mayRunAgain(now, e, t.engine):
+	case !l.mayRunAgain(now, e, t.engine):
 		return "its effect could happen twice"
 	}
 	return ""
 }
 
-// mayRunAgain is rule 2 for an attempt that has an effect: with others out at the same time, those may run.
+// mayRunAgain is rule 2 for a further attempt: others that are out may run. It holds for reads as well, for though they have no
+// effect, whatever is sent after one that may have run counts as sent again.
 func (l *Ledger) mayRunAgain(now float64, e *entry, engine string) bool {
 	if e.class.Effect == brain.Repeatable {
 		return true
 	}
-	on, at, ran := e.ranOn, e.ranAt, e.ran
-	for i := range e.attempts {
-		if x := &e.attempts[i]; !x.over && x.stage == ending.Decode && !ran {
-			on, at, ran = x.engine, x.sentAt, true
-		}
-	}
+	on, at, ran := e.mayRun()
 	if !ran {
 		return true
 	}
@@ -401,6 +400,27 @@
 	return a.cell == b.cell
 }
 
+// mayRun returns where and when the first attempt was sent that may have run, or may yet.
+func (e *entry) mayRun() (on string, at float64, ran bool) {
+	if e.ran {
+		return e.ranOn, e.ranAt, true
+	}
+	for i := range e.attempts {
+		if x := &e.attempts[i]; !x.over && x.stage == ending.Decode {
+			return x.engine, x.sentAt, true
+		}
+	}
+	return "", 0, false
+}
+
+// repeatBy is when the time ends in which a repeat of a keyed request is known as one; 0 = there is no such time.
+func (l *Ledger) repeatBy(e *entry) float64 {
+	if _, at, ran := e.mayRun(); ran && e.class.Effect == brain.ByKey {
+		return at + e.class.KeyTTL
+	}
+	return 0
+}
+
 // cancel ends an attempt that has not begun to stream.
 func (l *Ledger) cancel(a brain.Cancel) {
 	e := l.open[a.ID]
--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -49,6 +49,40 @@
 	return xs[0].N
 }
 
+// After an attempt that may have run, or is out, whatever is sent for a keyed request counts as a repeat, a read too: it stays
+// within group and window, and has to be written before the window ends.
+func TestKeyedReadsStayInGroupAndWindow(t *testing.T) {
+	for _, c := range []struct {
+		name, engine string
+		class        int
+		now          float64
+		starts       bool
+	}{
+		{"in its cell and time", "r0", 2, 1.5, true}, {"in another cell", "r1", 2, 1.5, false}, {"too late", "r0", 2, 3.1, false},
+		{"of a group of all, elsewhere", "r1", 3, 1.5, true}, {"of a group of all, too late", "r1", 3, 3.1, false},
+	} {
+		l := newBook()
+		l.Request(1, request("a", c.class), 0)
+		n := decode(t, l, 1, "a", "w0")
+		l.Ended(1.1, "a", n, ending.Facts{Progress: ending.Written, Cause: ending.Broken}, nil)
+		l.Take()
+		l.Apply(c.now, brain.Send{ID: "a", Engine: c.engine})
+		starts := find[Start](l)
+		if (len(starts) == 1) != c.starts {
+			t.Errorf("%s: got %v, want it sent %v", c.name, starts, c.starts)
+		}
+		if c.starts && len(starts) == 1 && starts[0].WriteBy != 3 {
+			t.Errorf("%s: got to be written by %g, want 3", c.name, starts[0].WriteBy)
+		}
+	}
+	l := newBook()
+	l.Request(1, request("a", 2), 0)
+	l.Apply(1, brain.Send{ID: "a", Engine: "r0"})
+	if starts := find[Start](l); len(starts) != 1 || starts[0].WriteBy != 0 {
+		t.Errorf("got %v, want a first attempt that may be written at any time", starts)
+	}
+}
+
 func TestOnceIsNotSentAgainAfterItMayHaveRun(t *testing.T) {
 	l := newBook()
 	l.Request(1, request("a", 1), 0)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -41,7 +41,7 @@
 	Body      []byte
 	Extra     []http1.Field // of the client's, to be passed on
 	Timeout   time.Duration // until the whole reply, or the first token
-
+	WriteBy   time.Time     // when the request must have been written, else it is not sent; zero = at any time
 }
 
 // ErrUnfit is wrapped by a Sink's error when the engine's answer, not the client, is at fault.
@@ -84,6 +84,10 @@
 		r.Err, r.Facts.Cause = err, a.Failed(err, ending.Broken)
 		return nil, nil
 	}
+	if a.Late(a.WriteBy, &r.Result) {
+		c.Close()
+		return nil, nil
+	}
 	fields := []http1.Field{{Name: "Content-Type", Value: "application/json"}, {Name: "Accept", Value: accept},
 		{Name: "X-Request-Id", Value: a.RequestID}, {Name: "Via", Value: "1.1 " + a.Client.Node},
 		{Name: "Endpoint-Load-Metrics-Format", Value: "JSON"}}
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -60,9 +60,12 @@
 	if at, ok := n.core.book.Deadline(cmd.ID); ok {
 		limit, left = within(limit, at-now), within(left, at-now-n.plan.book.Slack)
 	}
-	a := c.job.Attempt(protocol.Call{N: cmd.N, Address: n.addresses[cmd.Engine], Stage: cmd.Stage, State: cmd.State,
-		StateN: cmd.StateN, Timeout: max(time.Millisecond, seconds(limit)),
-		Left: max(time.Millisecond, seconds(left))})
+	call := protocol.Call{N: cmd.N, Address: n.addresses[cmd.Engine], Stage: cmd.Stage, State: cmd.State,
+		StateN: cmd.StateN, Timeout: max(time.Millisecond, seconds(limit)), Left: max(time.Millisecond, seconds(left))}
+	if cmd.WriteBy > 0 {
+		call.WriteBy = time.Now().Add(seconds(cmd.WriteBy - now))
+	}
+	a := c.job.Attempt(call)
 	c.attempts[cmd.N] = try{a, cmd.Engine}
 	n.log.Debug("attempt", "request", cmd.ID, "attempt", cmd.N, "engine", cmd.Engine, "prefill", cmd.Stage == ending.Prefill,
 		"state", cmd.State, "limit", limit)
--- a/internal/openai/job.go
+++ b/internal/openai/job.go
@@ -35,7 +35,7 @@
 func (j *job) Attempt(c protocol.Call) protocol.Attempt {
 	a := &attempt{job: j, stage: c.Stage, whole: !j.chat.Stream}
 	a.Client, a.RequestID, a.Address = j.front.engines, engine.StateID(j.id, c.N), c.Address
-	a.Extra, a.Timeout = j.extra, c.Timeout
+	a.Extra, a.Timeout, a.WriteBy = j.extra, c.Timeout, c.WriteBy
 	switch {
 	case c.Stage == ending.Prefill:
 		a.Body = j.chat.PrefillBody()
--- a/internal/protocol/hold.go
+++ b/internal/protocol/hold.go
@@ -125,6 +125,17 @@
 	return ending.Broken
 }
 
+// Late ends an attempt whose time to be written is over before a byte of it was; it tells whether that is so. A zero time is
+// never over.
+func (h *Hold) Late(by time.Time, r *Result) bool {
+	if by.IsZero() || time.Now().Before(by) {
+		return false
+	}
+	h.Withdraw()
+	r.Facts.Cause, _ = h.Stopped()
+	return true
+}
+
 // Exchange writes a request on a connection and reads the head of its answer, all by the time given. nil = it ended before
 // that: r says how far it came and why, and the connection is closed.
 func (h *Hold) Exchange(c *http1.ClientConn, until time.Time, method, target string, fields []http1.Field, body []byte, r *Result) *http1.Response {
--- a/internal/protocol/hold_test.go
+++ b/internal/protocol/hold_test.go
@@ -1,11 +1,14 @@
 package protocol
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
 	"testing"
+	"time"
 
+	"dillroute/brain"
 	"dillroute/internal/decide/ending"
 	"dillroute/internal/http1"
 )
@@ -49,3 +52,45 @@
 		}
 	}
 }
+
+// An attempt whose time to be written is over is not written, and is known as never sent.
+func TestLateAttemptsAreNotWritten(t *testing.T) {
+	var h Hold
+	r := Result{Facts: ending.Facts{Progress: ending.Dialling}}
+	if h.Late(time.Time{}, &r) || h.Late(time.Now().Add(time.Minute), &r) {
+		t.Fatal("one that has time is late")
+	}
+	if !h.Late(time.Now().Add(-time.Millisecond), &r) {
+		t.Fatal("one whose time is over is not late")
+	}
+	if h.Attach(nil) {
+		t.Error("it may be written all the same")
+	}
+	if v := ending.Judge(r.Facts); v.Status != brain.NotSent || v.Ran {
+		t.Errorf("got %+v, want that it was never sent", v)
+	}
+}
+
+// What calls an attempt off ends the making of its connection, before it has begun as well.
+func TestAbortEndsDialling(t *testing.T) {
+	for _, early := range []bool{true, false} {
+		var h Hold
+		if early {
+			h.Abort(ending.ClientLeft)
+		}
+		_, err := h.Dial(func(ctx context.Context) (*http1.ClientConn, error) {
+			if !early {
+				go h.Abort(ending.ClientLeft)
+			}
+			select {
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-time.After(10 * time.Second):
+				return nil, nil
+			}
+		})
+		if err == nil {
+			t.Errorf("called off early %v: the connection was waited for", early)
+		}
+	}
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -58,6 +58,7 @@
 	State   bool // a state waits and is to be fetched
 	StateN  int  // from this attempt
 	Timeout time.Duration
+	WriteBy time.Time     // when the request must have been written, else it is not sent; zero = at any time
 	Left    time.Duration // until the client's time is up, which the engine is told; Timeout may be beyond it by a slack
 }
 
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -47,7 +47,7 @@
 // Discovery follows the list of engines.
 type Discovery struct {
 	log   *slog.Logger
-	times believe.Watching
+	times believe.Pace
 	kinds map[string]int
 	zones map[string]int
 	roles []brain.Kind
@@ -56,6 +56,7 @@
 
 	mu     sync.Mutex
 	told   *believe.Told
+	known  bool // a list was known at the start
 	watch  *watch
 	closed bool
 }
@@ -93,10 +94,18 @@
 
 // Follow starts following discovery at an address, from what was known before (may be empty).
 func Follow(addr string, known []byte, s *settings.Settings, take func(protocol.List), log *slog.Logger) *Discovery {
-	return follow(addr, known, s, believe.NewWatching(toldAfter), take, log)
+	return follow(addr, known, s, paceOf(s), take, log)
 }
 
-func follow(addr string, known []byte, s *settings.Settings, times believe.Watching, take func(protocol.List), log *slog.Logger) *Discovery {
+// paceOf is the pace at which the discovery of the settings is followed.
+func paceOf(s *settings.Settings) believe.Pace {
+	if s.Brain.OnRequest {
+		return believe.SharedPace(toldAfter, s.Brain.Rules.AskEvery, rand.Float64)
+	}
+	return believe.AgentPace(toldAfter, rand.Float64)
+}
+
+func follow(addr string, known []byte, s *settings.Settings, times believe.Pace, take func(protocol.List), log *slog.Logger) *Discovery {
 	d := &Discovery{log: log, times: times, kinds: index(s.Kinds), zones: index(s.Zones), roles: s.Brain.Kinds, take: take,
 		told: newTold()}
 	var a answer
@@ -105,6 +114,7 @@
 			log.Warn("the list known before is not used", "error", err.Error())
 		} else {
 			d.hear(&a, true)
+			d.known = true
 		}
 	}
 	d.Move(addr)
@@ -189,11 +199,11 @@
 			before.end()
 		}
 	}()
-	asker := believe.NewWatcher(rand.Float64)
+	asker := d.times.Asker()
 	var lead *call
 	var line *http1.ClientConn // that the next call goes on; nil = a new one
 	silent := 0                // calls that have led and said nothing since the last answer
-	at := unix()               // when a call is due, or the one that leads counts as silent
+	at := d.begins(before)     // when a call is due, or the one that leads counts as silent
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -206,7 +216,7 @@
 				silent++
 				d.log.Info("discovery is silent", "address", w.addr, "calls", silent)
 			}
-			lead, at = w.begin(line, d.times, silent)
+			lead, at = w.begin(line, d.times.Watching, silent)
 			line = nil
 			calls.Add(1)
 			go func(c *call) { defer calls.Done(); d.call(w, pool, c) }(lead)
@@ -236,6 +246,16 @@
 	}
 }
 
+// begins is when the first call of a watch is made (Unix s): at once where nothing is known, or where it follows upon another.
+func (d *Discovery) begins(before *watch) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if before != nil || !d.known {
+		return unix()
+	}
+	return unix() + d.times.Spread*rand.Float64()
+}
+
 // begin notes a call and returns when it counts as silent (Unix s). On a connection that has just answered it waits for news;
 // the first one on a new connection waits for nothing. Changes are asked for where they are enough: they are less to send.
 func (w *watch) begin(line *http1.ClientConn, times believe.Watching, silent int) (*call, float64) {
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -101,8 +101,12 @@
 	start := time.Now()
 	until, left := start.Add(a.call.Timeout), start.Add(a.call.Left)
 	r.Facts.Progress = ending.Dialling
+	connect := a.call.Timeout
+	if !a.call.WriteBy.IsZero() {
+		connect = max(time.Millisecond, min(connect, time.Until(a.call.WriteBy)))
+	}
 	c, err := a.Dial(func(ctx context.Context) (*http1.ClientConn, error) {
-		return a.engines.get(ctx, a.call.Address, a.call.Timeout, a.fresh)
+		return a.engines.get(ctx, a.call.Address, connect, a.fresh)
 	})
 	if err != nil {
 		r.Err, r.Facts.Cause = err, a.Failed(err, ending.Broken)
@@ -111,6 +115,10 @@
 		}
 		return nil, nil
 	}
+	if a.Late(a.call.WriteBy, r) {
+		c.Close()
+		return nil, nil
+	}
 	fields := []http1.Field{{Name: headID, Value: a.id},
 		{Name: headBudget, Value: strconv.FormatFloat(max(0.001, time.Until(left).Seconds()), 'f', 3, 64)}}
 	resp := a.Exchange(c, until, a.method, a.target, append(fields, a.fields...), a.body, r)
