--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -176,9 +176,10 @@
 // A keyed request that is to be read anew, after an attempt that may have run, is read within its group or not at all:
 // whatever is sent then counts as a repeat.
 func TestByKeyReadsStayInItsGroup(t *testing.T) {
-	m := fleet()
+	m, cfg := fleet(), testConfig()
 	m.Engines = append(m.Engines, eng("w0b", 1, 0), eng("w1b", 1, 1))
-	r := start(t, testConfig(), m)
+	cfg.Limits.MaxAttempts = 8
+	r := start(t, cfg, m)
 	_, w := read(t, r, 1, ask("a", 2))
 	s := one[Send](t, r.Step(1.2, []Event{Outcome{ID: "a", Attempt: 1, Engine: w, Status: ServerError}}))
 	gone := eng("r"+w[1:2], 0, int(w[1]-'0'))
