A close behind more than the kernel takes is seen; a stream broken off loses nothing that was written

Read: what a client sent behind its request was read ahead for 1 KiB, and beyond the kernel's buffer its close was not seen until the answer; a stream that the node broke off was closed over the client's unread bytes, which resets the connection and takes small writes with it. Change: what is sent behind is kept for its turn, up to 1 MiB a connection and half of the bytes that may be held over all; Exchange.Break shuts a broken stream down and reads on before it closes.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// Exchange is one request and its answer. Reply, or Begin, Write and End, or Cut are called by one goroutine at
+// Exchange is one request and its answer. Reply, or Begin, Write and End, or Break or Cut are called by one goroutine at
 // a time; Hangup may come at any moment.
 type Exchange struct {
 	*Request
@@ -122,6 +122,16 @@
 	return err
 }
 
+// Break ends a streamed answer that is not whole: its connection ends without the last chunk. What has been written still
+// arrives, for the connection is shut down and read on for a moment before it closes.
+func (x *Exchange) Break() {
+	if !x.state.CompareAndSwap(begun, ended) {
+		return
+	}
+	x.close = true
+	x.finish(nil)
+}
+
 // Cut ends the exchange by closing the connection, whatever had been sent.
 func (x *Exchange) Cut() {
 	if x.state.Swap(ended) != ended {
--- a/internal/http1/hangup.go
+++ b/internal/http1/hangup.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -13,8 +14,9 @@
 )
 
 // watch waits for the end of an exchange and meanwhile looks for the client's hang-up. It tells whether the connection is gone.
-// What a client sends behind its request is read ahead into the buffer that is there, and no further: it waits its turn in
-// the kernel, where a close behind it shows in the state of the connection alone. Behind more than the kernel takes it does not.
+// What a client sends behind its request is read ahead and kept for its turn, so that a close behind it shows. Beyond the bound
+// on what is kept it waits in the kernel, where a close shows in the state of the connection alone, and behind more than the
+// kernel takes not at all.
 func (c *conn) watch(x *Exchange) (gone bool) {
 	for {
 		select {
@@ -23,11 +25,14 @@
 		default:
 		}
 		_, err := c.br.Peek(c.br.Buffered() + 1)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			if err = c.ahead.more(c.mayKeep); err == errAheadFull {
+				return c.watchState(x)
+			}
+		}
 		switch {
 		case err == nil:
 			continue
-		case errors.Is(err, bufio.ErrBufferFull):
-			return c.watchState(x)
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			if x.waking.Load() {
 				<-x.done
@@ -42,6 +47,69 @@
 	}
 }
 
+// aheadReader reads a connection, first what was read ahead of its turn. It belongs to one goroutine.
+type aheadReader struct {
+	nc   net.Conn
+	held *atomic.Int64 // bytes that are kept, over all connections
+	kept []byte        // read ahead, and not yet read from here
+	err  error         // which ended the reading ahead; it comes after what is kept
+}
+
+// Bounds of what is read ahead on one connection, in bytes.
+const (
+	aheadMost = 1 << 20 // a few requests of the largest size
+	aheadStep = 4 << 10
+)
+
+// errAheadFull tells that no more is kept.
+var errAheadFull = errors.New("http1: as much has been read ahead as may be kept")
+
+// Read returns what was read ahead, and then what comes.
+func (a *aheadReader) Read(p []byte) (int, error) {
+	switch {
+	case len(a.kept) > 0:
+		n := copy(p, a.kept)
+		a.held.Add(-int64(n))
+		if a.kept = a.kept[n:]; len(a.kept) == 0 {
+			a.kept = nil
+		}
+		return n, nil
+	case a.err != nil:
+		return 0, a.err
+	}
+	return a.nc.Read(p)
+}
+
+// more waits for bytes and keeps them, if keep allows so many more.
+func (a *aheadReader) more(keep func(bytes int) bool) error {
+	if a.err != nil {
+		return a.err
+	}
+	if len(a.kept)+aheadStep > aheadMost || !keep(aheadStep) {
+		return errAheadFull
+	}
+	var step [aheadStep]byte
+	n, err := a.nc.Read(step[:])
+	a.kept = append(a.kept, step[:n]...)
+	a.held.Add(int64(n))
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		a.err = err
+	}
+	return err
+}
+
+// drop gives up what is kept.
+func (a *aheadReader) drop() {
+	a.held.Add(-int64(len(a.kept)))
+	a.kept = nil
+}
+
+// mayKeep tells whether so many more bytes may be read ahead: half of what may be held is left to requests that are due.
+func (c *conn) mayKeep(bytes int) bool {
+	s := c.srv
+	return s.MaxBytes <= 0 || s.held.Load()+int64(bytes) <= s.MaxBytes/2
+}
+
 // lookEvery is how often the state of a connection is looked at whose buffer is full: a client that has gone is to be noticed
 // well within 0.1 s.
 const lookEvery = 40 * time.Millisecond
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -233,7 +233,7 @@
 // A client that sends much behind its request and goes is seen to go, within 0.1 s, and little of it is held meanwhile; what is
 // sent behind by a client that stays waits its turn.
 func TestHangupIsSeenBehindPipelinedRequests(t *testing.T) {
-	for name, behind := range map[string]int{"one more": 1, "a full buffer": 100, "many": 1500} {
+	for name, behind := range map[string]int{"one more": 1, "a full buffer": 100, "many": 1500, "more than the kernel takes": 25_000} {
 		for _, how := range []string{"close", "reset"} {
 			t.Run(name+" "+how, func(t *testing.T) {
 				seen, taken := make(chan time.Time, 1), make(chan struct{}, 1)
@@ -242,8 +242,13 @@
 					x.OnHangup(func(bool) { seen <- time.Now(); x.Cut() })
 				})}
 				c := dial(t, serve(t, s))
-				go io.WriteString(c, ok+"\r\n"+strings.Repeat(ok+"\r\n", behind))
+				sent := make(chan struct{})
+				go func() {
+					defer close(sent)
+					io.WriteString(c, ok+"\r\n"+strings.Repeat(ok+"\r\n", behind))
+				}()
 				<-taken
+				<-sent // into the kernel's buffers: a close follows behind
 				time.Sleep(50 * time.Millisecond)
 				select {
 				case <-seen:
@@ -271,6 +276,70 @@
 	}
 }
 
+// What was read ahead is answered in its turn, whatever of it was kept, and nothing of it is counted as held then.
+func TestRequestsReadAheadAreAnsweredInOrder(t *testing.T) {
+	const behind = 3000
+	first, n := make(chan struct{}), 0
+	s := &Server{MaxBytes: 1 << 20, Handler: HandlerFunc(func(x *Exchange) {
+		if n++; n == 1 {
+			go func() { <-first; x.Reply(200, []Field{{"X-N", x.Query}}, nil) }()
+			return
+		}
+		x.Reply(200, []Field{{"X-N", x.Query}}, nil)
+	})}
+	c := dial(t, serve(t, s))
+	go func() {
+		for i := range behind {
+			fmt.Fprintf(c, "GET /?%d HTTP/1.1\r\nHost: a\r\n\r\n", i)
+		}
+	}()
+	for s.Held() < 40<<10 {
+		time.Sleep(time.Millisecond) // until more has been read ahead than the reader's own buffer holds
+	}
+	close(first)
+	br := bufio.NewReader(c)
+	for i := range behind {
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil || resp.Header.Get("X-N") != fmt.Sprint(i) {
+			t.Fatalf("answer %d: got %v, %v", i, resp, err)
+		}
+	}
+	c.Close()
+	for s.Conns() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if held := s.Held(); held != 0 {
+		t.Errorf("%d bytes are held when all is over", held)
+	}
+}
+
+// A stream that is broken off gives its client all that was written, though bytes of the client's are unread: a close over
+// them would be a reset, which takes what the kernel still held with it.
+func TestBrokenStreamGivesAllThatWasWritten(t *testing.T) {
+	event := strings.Repeat("x", 1<<10)
+	for range 20 {
+		s := &Server{Times: Times{Head: time.Second, Body: time.Second, Idle: time.Second, Write: time.Second, Linger: time.Second},
+			Handler: HandlerFunc(func(x *Exchange) {
+				x.Begin(200, nil)
+				for range 60 {
+					x.Write([]byte(event))
+				}
+				x.Break()
+			})}
+		c := dial(t, serve(t, s))
+		io.WriteString(c, ok+"\r\n"+strings.Repeat(ok+"\r\n", 200))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if len(body) != 60*len(event) || err != io.ErrUnexpectedEOF {
+			t.Fatalf("got %d bytes of %d, %v, want all of them without the last chunk", len(body), 60*len(event), err)
+		}
+		c.Close()
+	}
+}
+
 // A request that is there when the time of its connection runs out is answered.
 func TestRequestInTheMomentOfACloseIsAnswered(t *testing.T) {
 	s := &Server{Times: Times{First: time.Nanosecond, Head: time.Second, Body: time.Second, Idle: time.Nanosecond, Write: time.Second}}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -49,7 +49,7 @@
 var DefaultTimes = Times{Head: 10 * time.Second, Body: 30 * time.Second, Idle: 60 * time.Second, Write: 10 * time.Second}
 
 // Handler answers requests. Serve runs on the connection's goroutine, may return before the answer is given, and
-// must see to it that the Exchange is ended by Reply, End or Cut, once, from any one goroutine.
+// must see to it that the Exchange is ended by Reply, End, Break or Cut, once, from any one goroutine.
 type Handler interface{ Serve(x *Exchange) }
 
 // HandlerFunc is a Handler made from a function.
@@ -87,14 +87,15 @@
 
 // conn is one client connection. br belongs to its goroutine; out to whoever ends the present exchange.
 type conn struct {
-	srv  *Server
-	nc   net.Conn
-	br   *bufio.Reader
-	idle atomic.Bool              // between requests
-	rest atomic.Int64             // Unix nanoseconds since when it is idle
-	said atomic.Bool              // a request has begun to come
-	x    atomic.Pointer[Exchange] // the latest, which Close must not wait for
-	by   time.Time                // when the present request must have come whole; zero = not bounded
+	srv   *Server
+	nc    net.Conn
+	ahead *aheadReader
+	br    *bufio.Reader            // of ahead
+	idle  atomic.Bool              // between requests
+	rest  atomic.Int64             // Unix nanoseconds since when it is idle
+	said  atomic.Bool              // a request has begun to come
+	x     atomic.Pointer[Exchange] // the latest, which Close must not wait for
+	by    time.Time                // when the present request must have come whole; zero = not bounded
 }
 
 const readBuffer = 1 << 10 // small: thousands of connections wait with one each
@@ -136,7 +137,7 @@
 // it takes to read a head and refuse: a refusal written before the request had been read would be lost to a reset. Where
 // the lobby is full too, nothing more is accepted until somebody leaves it.
 func (s *Server) start(nc net.Conn) {
-	c := &conn{srv: s, nc: nc}
+	c := &conn{srv: s, nc: nc, ahead: &aheadReader{nc: nc, held: &s.held}}
 	c.idle.Store(true)
 	s.mu.Lock()
 	full := s.MaxConns != nil && len(s.conns)-s.lobby >= s.MaxConns()
@@ -160,6 +161,7 @@
 			c.serve()
 		}
 		nc.Close()
+		c.ahead.drop()
 		s.mu.Lock()
 		delete(s.conns, c)
 		if full {
@@ -186,7 +188,7 @@
 
 // turnAway reads one request's head and refuses it.
 func (c *conn) turnAway() {
-	c.br = bufio.NewReaderSize(c.nc, readBuffer)
+	c.br = bufio.NewReaderSize(c.ahead, readBuffer)
 	c.nc.SetReadDeadline(time.Now().Add(orElse(c.srv.Times.Lobby, lobbyWait)))
 	if _, err := c.br.Peek(1); err != nil {
 		return
@@ -327,7 +329,7 @@
 // answers leave in order.
 func (c *conn) serve() {
 	s := c.srv
-	c.br = bufio.NewReaderSize(c.nc, readBuffer)
+	c.br = bufio.NewReaderSize(c.ahead, readBuffer)
 	wait := orElse(s.Times.First, s.Times.Head) // before the first request a connection gets no idle time
 	for {
 		c.idle.Store(true)
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -62,7 +62,7 @@
 // Say writes a last word. A stream that has begun ends with its connection, without the last chunk.
 func (j *job) Say(w protocol.Word) {
 	if j.x.Begun() {
-		j.x.Cut()
+		j.x.Break()
 		return
 	}
 	j.x.Reply(w.Status, w.Fields, w.Body) // an error: the client is gone
