A stream that the node ends passes on all that its engine has sent by then

Change: a stream that is ended for the node's own reasons reads on for 20 ms, and then what the kernel holds, 256 KiB at the most.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -56,8 +56,10 @@
 	used  time.Time
 	until time.Time // the bound on reads and writes; zero = none
 
-	bounds sync.Mutex // of the two below, and of the order in which deadlines are set
+	bounds sync.Mutex // of last, and of the order in which deadlines are set
 	last   time.Time  // beyond which no deadline is set any more; zero = Finish was not called
+
+	drained int // bytes that were read when the time of Finish was over
 	// Reused tells that the connection has carried an exchange before.
 	Reused bool
 	// Rested is for how long it had rested then.
@@ -95,7 +97,9 @@
 		p.leave()
 		return nil, err
 	}
-	return &ClientConn{addr: addr, pool: p, nc: nc, br: bufio.NewReaderSize(nc, 1<<10), lim: p.Limits}, nil
+	c := &ClientConn{addr: addr, pool: p, nc: nc, lim: p.Limits}
+	c.br = bufio.NewReaderSize(arrived{c}, 1<<10)
+	return c, nil
 }
 
 // enter counts one more connection, closing one that rests if there is no room.
@@ -258,8 +262,8 @@
 	}
 }
 
-// Finish ends the use of the connection within the time given, in which what has come is still read. Unlike the other methods
-// but Close it may be called from any goroutine.
+// Finish ends the use of the connection: what has come, and what comes within the time given, is still read. Unlike the other
+// methods but Close it may be called from any goroutine.
 func (c *ClientConn) Finish(within time.Duration) {
 	c.bounds.Lock()
 	defer c.bounds.Unlock()
@@ -269,6 +273,39 @@
 	}
 }
 
+// afterFinish bounds what is read of a connection once the time of Finish is over, in bytes: what the kernel held by then.
+const afterFinish = 256 << 10
+
+// arrived reads a connection. Once the time of Finish is over it gives what has come, which a read whose deadline has passed
+// does not. It belongs to the connection's goroutine.
+type arrived struct{ c *ClientConn }
+
+func (a arrived) Read(p []byte) (int, error) {
+	n, err := a.c.nc.Read(p)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !a.c.finishing() || a.c.drained >= afterFinish {
+		return n, err
+	}
+	if n = readNow(a.c.nc, p); n > 0 {
+		a.c.drained += n
+		return n, nil
+	}
+	return 0, err
+}
+
+// readNow reads what a connection holds, without waiting; 0 = nothing, or it cannot tell.
+func readNow(nc net.Conn, p []byte) (n int) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) { n, _ = syscall.Read(int(fd), p) })
+	return max(0, n)
+}
+
 // finishing tells whether Finish was called.
 func (c *ClientConn) finishing() bool {
 	c.bounds.Lock()
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -43,6 +43,12 @@
 
 // newStageWith is newStage with a settings object of the test's own.
 func newStageWith(t *testing.T, settings string, memoryMB, sockets int, engines ...string) (*stage, map[string]*platform.Engine) {
+	t.Helper()
+	return newStageOn(t, nil, settings, memoryMB, sockets, engines...)
+}
+
+// newStageOn is newStageWith on a listener of the test's own; nil = one of the node's.
+func newStageOn(t *testing.T, l net.Listener, settings string, memoryMB, sockets int, engines ...string) (*stage, map[string]*platform.Engine) {
 	t.Helper()
 	s := &stage{t: t, log: &record.Log{}, settings: settings, file: filepath.Join(t.TempDir(), "config.json")}
 	s.p = platform.New("n0", s.log)
@@ -64,7 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.node, err = node.StartRelay(cfg, node.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil)))); err != nil {
+	if s.node, err = node.StartRelay(cfg, node.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))), node.WithListener(l)); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
--- a/lab/platform/engine.go
+++ b/lab/platform/engine.go
@@ -57,6 +57,7 @@
 	faults  []Fault // of the next answers of its role
 	stopped bool
 	slow    time.Duration // before a read or an answer begins
+	whole   int           // streams that were written to their last chunk
 }
 
 func (e *Engine) listen() error {
@@ -86,6 +87,13 @@
 	e.mu.Unlock()
 }
 
+// Whole returns how many streams were written to their last chunk.
+func (e *Engine) Whole() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.whole
+}
+
 // Slow sets how long the engine waits before it begins.
 func (e *Engine) Slow(d time.Duration) {
 	e.mu.Lock()
@@ -383,6 +391,9 @@
 		return false
 	}
 	io.WriteString(c, "0\r\n\r\n")
+	e.mu.Lock()
+	e.whole++
+	e.mu.Unlock()
 	switch fault {
 	case SecondAnswer:
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
