A refusal of what must not run twice needs proof of every attempt from its bytes alone

Cause: unknown still. What rested on a belief was that attempts at prefill engines cannot have run, whatever met them at that address. Change: a class whose repeats are not discarded everywhere is refused only where each attempt has ended and either was not written whole or was answered as read, rejected or without state; else it fails. The test of that guard expected a refusal of a request whose read was not heard of while time was left; its successor expects the stricter failure, and covers errors, spoilt answers, keyed classes and attempts that are out.

--- a/internal/decide/ending/ending.go
+++ b/internal/decide/ending/ending.go
@@ -99,6 +99,20 @@
 	return v
 }
 
+// ProvesNotRun tells whether the bytes of an attempt prove that it has not run at its engine: not all of its request was written, or
+// the engine answered that the prompt was read, or that it did not run. Unlike Verdict.Ran it does not take an engine's role for
+// proof: that a prefill engine runs nothing says little of an engine that did not answer as one.
+func ProvesNotRun(f Facts) bool {
+	if f.Cause != Answered {
+		return f.Progress < Written
+	}
+	switch f.Meaning {
+	case Read, Turned, NoState, Judged:
+		return true
+	}
+	return false
+}
+
 // provesNot tells whether a status proves that the request never ran.
 func provesNot(s brain.Status) bool {
 	return s == brain.TurnedAway || s == brain.NoConnection || s == brain.NotSent || s == brain.Parsed
--- a/internal/decide/ledger/lastword_test.go
+++ b/internal/decide/ledger/lastword_test.go
@@ -7,10 +7,12 @@
 	"dillroute/internal/decide/ending"
 )
 
-// An engine was sent a whole request and never said what became of it. While its client can come again it is refused, a read
-// having no effect; when the client's time is up a refusal is of no use, and a class that must not run twice fails.
-func TestAtTheEndOfItsTimeWhatWasNotHeardOfFails(t *testing.T) {
+// A refusal says that a retry is harmless, and needs proof for every attempt from its bytes alone: that a read has no effect is
+// none, for an engine that did not answer as one that reads may be another. Where every engine discards repeats a refusal is true
+// all the same, but of no use when the client's time is up.
+func TestRefusalsNeedProofOfEveryAttempt(t *testing.T) {
 	unheard := ending.Facts{Progress: ending.Written, Cause: ending.Expired}
+	failed := ending.Facts{Progress: ending.Headed, Cause: ending.Answered, Meaning: ending.Error}
 	for _, c := range []struct {
 		name  string
 		class int
@@ -18,15 +20,20 @@
 		at    float64 // of 6
 		retry bool
 	}{
-		{"once, time left", 1, unheard, 3, true}, {"once, none left", 1, unheard, 5.98, false},
-		{"keyed, none left", 3, unheard, 5.98, false}, {"repeatable, none left", 0, unheard, 5.98, true},
+		{"once, not heard of, time left", 1, unheard, 3, false}, {"once, not heard of, none left", 1, unheard, 5.98, false},
+		{"once, an error, time left", 1, failed, 3, false},
+		{"once, spoilt, time left", 1, ending.Facts{Progress: ending.Written, Cause: ending.Unreadable}, 3, false},
+		{"keyed in a cell, not heard of, time left", 2, unheard, 3, false},
+		{"keyed everywhere, not heard of, time left", 3, unheard, 3, true},
+		{"keyed everywhere, not heard of, none left", 3, unheard, 5.98, false}, {"repeatable, none left", 0, unheard, 5.98, true},
 		{"once, never written", 1, ending.Facts{Progress: ending.Connected, Cause: ending.Broken}, 5.98, true},
 		{"once, turned away", 1, ending.Facts{Progress: ending.Headed, Cause: ending.Answered, Meaning: ending.Turned}, 5.98, true},
+		{"once, read", 1, ending.Facts{Progress: ending.Headed, Cause: ending.Answered, Meaning: ending.Read}, 3, true},
 	} {
 		for _, how := range []string{"by the module", "by the book"} {
 			l := newBook()
 			l.Request(1, request("a", c.class), 0)
-			n := decode(t, l, 1, "a", "r0") // r0 reads: nothing can have run
+			n := decode(t, l, 1, "a", "r0") // r0 reads: an attempt there has no effect by the protocol
 			l.Ended(2, "a", n, c.facts, nil)
 			if how == "by the module" {
 				l.Apply(c.at, brain.Refuse{ID: "a"})
@@ -40,3 +47,16 @@
 		}
 	}
 }
+
+// A refusal while an attempt is out rests on what that has not told yet.
+func TestRefusalsWhileAnAttemptIsOut(t *testing.T) {
+	for class, retry := range map[int]bool{0: true, 1: false, 2: false, 3: true} {
+		l := newBook()
+		l.Request(1, request("a", class), 0)
+		decode(t, l, 1, "a", "r0")
+		l.EndAll(3)
+		if xs := find[Answer](l); len(xs) != 1 || xs[0].Answer.Retry != retry {
+			t.Errorf("class %d: got %+v, want a refusal %v", class, xs, retry)
+		}
+	}
+}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -124,6 +124,7 @@
 	ranOn     string
 	ranAt     float64
 	unheard   bool    // an attempt was written whole and ended without an answer
+	unproven  bool    // the bytes of an attempt that has ended do not prove that it has not run
 	answering bool    // the answer belongs to an attempt
 	concluded bool    // the client has its answer, or has gone
 	rejected  int     // code by which an engine has judged the request
@@ -496,8 +497,10 @@
 	if e == nil || e.concluded || e.answering {
 		return
 	}
-	if a.Retry && !ending.Repeats(e.class.Effect, e.class.Group, l.mayHaveRun(e)) {
-		l.fault("refusal of %s, which may have run", id)
+	if a.Retry && !ending.Repeats(e.class.Effect, e.class.Group, !e.provenNotRun()) {
+		if _, _, ran := e.mayRun(); ran {
+			l.fault("refusal of %s, which may have run", id)
+		}
 		a, after = ending.Failed(), 0
 	}
 	if a.Retry && l.lastWord(now, e) {
@@ -527,18 +530,10 @@
 	l.do(a)
 }
 
-// mayHaveRun tells whether an attempt that has ended, or is out, can have had an effect.
-func (l *Ledger) mayHaveRun(e *entry) bool {
-	if e.ran {
-		return true
-	}
-	for i := range e.attempts {
-		if t := &e.attempts[i]; !t.over && t.stage == ending.Decode {
-			return true
-		}
-	}
-	return false
-}
+// provenNotRun tells whether the bytes of every attempt prove that it has not run: it has ended, and either not all of its
+// request was written or its engine has answered that it did not run. That a read has no effect is no such proof: it rests on
+// which engine was met at its address, and that an engine which said nothing cannot tell.
+func (e *entry) provenNotRun() bool { return !e.unproven && e.out == 0 }
 
 // conclude ends what the client is owed and stops what is still out: nothing is done for it after.
 func (l *Ledger) conclude(id string, e *entry, cause ending.Cause) {
@@ -615,6 +610,7 @@
 	}
 	v := ending.Judge(f)
 	e.unheard = e.unheard || f.Cause != ending.Answered && f.Progress >= ending.Written
+	e.unproven = e.unproven || !ending.ProvesNotRun(f)
 	if f.Cause == ending.Answered && f.Meaning == ending.Judged && !v.Final {
 		e.rejected = f.Code
 	}
@@ -685,7 +681,7 @@
 		return
 	}
 	if half {
-		retry := ending.Repeats(e.class.Effect, e.class.Group, l.mayHaveRun(e))
+		retry := ending.Repeats(e.class.Effect, e.class.Group, !e.provenNotRun())
 		l.say(e, Answer{id, ending.Answer{HTTP: 400, Code: "client_closed", Retry: retry}, 0,
 			"the client closed its side before the answer; keep it open until then"})
 	}
@@ -711,7 +707,7 @@
 
 // giveUp answers in the module's place and tells it so.
 func (l *Ledger) giveUp(now float64, id string, e *entry, a ending.Answer, reason string) {
-	if a.Retry && (l.lastWord(now, e) || !ending.Repeats(e.class.Effect, e.class.Group, l.mayHaveRun(e))) {
+	if a.Retry && (l.lastWord(now, e) || !ending.Repeats(e.class.Effect, e.class.Group, !e.provenNotRun())) {
 		a = ending.Failed()
 	}
 	l.say(e, Answer{id, a, 0, reason})
