Refused connections do not use up a request's attempts; a refusal never rests on a writer's 202

The protocol page counts an attempt once its last byte has come. Change: where a node speaks that protocol, attempts that ended before their request was written do not count, up to as many again; a request that has met one waits for ejected engines, if its time allows, rather than asking the last of them at once (brain.others). Tests of module, ledger and ending; the module's was seen to fail without the wait.

--- a/brain/api.go
+++ b/brain/api.go
@@ -76,6 +76,7 @@
 // Limits are the site's allowances.
 type Limits struct {
 	MaxAttempts   int
+	UnsentFree    bool // attempts that ended before their request was written do not count towards MaxAttempts
 	Cancel        bool
 	Probe         bool
 	ParallelTries bool
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -482,7 +482,7 @@
 // rescue calls off a stuck attempt, so that the request goes elsewhere while there is time. Attempts at an
 // engine that still answers others are left alone: under load a retry would only add to it.
 func (r *Router) rescue(q *request) {
-	if q.out >= 0 && !q.calledOff && r.cfg.Limits.Cancel && q.sent+2 <= r.cfg.Limits.MaxAttempts &&
+	if q.out >= 0 && !q.calledOff && r.cfg.Limits.Cancel && r.left(q) >= 2 &&
 		(q.stage == reading || q.class.Effect == Repeatable) && r.stuck(q, q.at()) {
 		q.calledOff = true
 		r.do(Cancel{q.ID, q.out})
@@ -710,7 +710,7 @@
 func (r *Router) bestWriter(q *request, from *engine, left float64, untested bool) *engine {
 	var best *engine
 	most := math.Inf(-1)
-	for _, e := range q.others(r.pool(func(e *engine) bool {
+	for _, e := range r.others(q, r.pool(func(e *engine) bool {
 		return e.role != Read && r.maySend(q, e) && r.coldRoom(q, e)
 	})) {
 		room, pace, fits := r.room(e, q)
@@ -750,7 +750,7 @@
 // readers returns the usable readers in weighted rendezvous order of the shared beginning, else the session,
 // the same at all routers. A hot beginning has homes by its part of our arrivals; sessions share them.
 func (r *Router) readers(q *request) []*engine {
-	xs := q.others(r.pool(func(e *engine) bool {
+	xs := r.others(q, r.pool(func(e *engine) bool {
 		return e.role != Write && r.maySend(q, e) && r.coldRoom(q, e)
 	}))
 	key := q.Prefix
@@ -866,7 +866,7 @@
 	q.due = q.deadline - r.margin()
 	if q.out < 0 {
 		q.due = min(q.due, until-best) // what can no longer be served with some worth is given up at once
-		if q.sent >= r.cfg.Limits.MaxAttempts || q.mayRun && !r.maySend(q, q.mayRunOn) {
+		if r.left(q) <= 0 || q.mayRun && !r.maySend(q, q.mayRunOn) {
 			q.due = r.now
 		}
 	}
@@ -945,7 +945,7 @@
 // order only when that has the first token in half the time and less.
 func (r *Router) admit(q *request, low bool) bool {
 	rds := r.readers(q)
-	if q.sent+2 <= r.cfg.Limits.MaxAttempts {
+	if r.left(q) >= 2 {
 		var rd, w *engine
 		least := math.Inf(1)
 		for _, e := range rds[:min(homeChoices, len(rds))] {
@@ -971,7 +971,7 @@
 			return true
 		}
 	}
-	last := len(rds) == 0 || q.sent+1 == r.cfg.Limits.MaxAttempts
+	last := len(rds) == 0 || r.left(q) == 1
 	return last && r.admitUnread(q)
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1198,3 +1198,37 @@
 		}
 	}
 }
+
+// Engines that died together refuse connections within milliseconds. Where attempts that were never written do not count, a
+// request outlives more of them than it has attempts, waits while all are ejected, and is served by the one that comes back.
+func TestRefusedConnectionsDoNotUseUpTheAttempts(t *testing.T) {
+	for _, free := range []bool{true, false} {
+		cfg := testConfig()
+		cfg.Limits.MaxAttempts, cfg.Limits.UnsentFree = 4, free
+		r := start(t, cfg, Members{Form: ListFull, Engines: []Engine{eng("r0", 0, 0), eng("r1", 0, 0), eng("r2", 0, 0), eng("w0", 1, 0)}})
+		now, sends, served := 1.0, 0, false
+		acts := r.Step(now, []Event{ask("a", 1)})
+		for range 400 {
+			var next []Event
+			for _, a := range acts {
+				switch a := a.(type) {
+				case Send:
+					if sends++; now < 1.4 { // all are dead for a while
+						next = append(next, Outcome{ID: "a", Attempt: sends - 1, Engine: a.Engine, Status: NoConnection, Spent: 1e-3})
+					} else {
+						next = append(next, Outcome{ID: "a", Attempt: sends - 1, Engine: a.Engine, Status: Parsed, Spent: 0.05})
+					}
+				}
+			}
+			served = served || now > 1.4 && len(next) > 0
+			now += 0.005
+			acts = r.Step(now, next)
+		}
+		if served != free {
+			t.Errorf("free %v: %d attempts, read after the outage %v, want %v", free, sends, served, free)
+		}
+		if free && sends > 2*cfg.Limits.MaxAttempts {
+			t.Errorf("%d attempts, want twice the limit at the most", sends)
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -32,6 +32,7 @@
 	stage                  stage
 	calledOff              bool    // we called off the attempt out
 	sent, out              int     // attempts made; the number of the one out, or -1
+	unsent                 int     // of those made, which do not count
 	mayRun                 bool    // an earlier attempt may have run
 	mayRunAt               float64 // when the first such was sent
 	mayRunOn               *engine // and where
@@ -343,6 +344,7 @@
 	case First:
 		r.first(ev)
 	case Outcome:
+		r.uncount(ev)
 		r.outcome(ev)
 	case Gone:
 		if q := r.byID[ev.ID]; q != nil && !q.done {
@@ -386,8 +388,25 @@
 	slices.SortFunc(r.list, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-// others returns engines less the one that failed the request last, unless it is the only one.
-func (q *request) others(xs []*engine) []*engine {
+// left is how many attempts a request may still have.
+func (r *Router) left(q *request) int { return r.cfg.Limits.MaxAttempts - q.sent + q.unsent }
+
+// uncount takes off an attempt that ended before its request was written, where such do not count: as many as may be made, at
+// the most, for engines that refuse connections would else be asked without end.
+func (r *Router) uncount(ev Outcome) {
+	q := r.byID[ev.ID]
+	if r.cfg.Limits.UnsentFree && q != nil && q.out == ev.Attempt && q.unsent < r.cfg.Limits.MaxAttempts &&
+		(ev.Status == NoConnection || ev.Status == NotSent) {
+		q.unsent++
+	}
+}
+
+// others returns engines less the one that failed the request last, unless it is the only one. A request that has met refused
+// connections waits for an ejected engine, if its time allows: engines that died together refuse within milliseconds.
+func (r *Router) others(q *request, xs []*engine) []*engine {
+	if q.unsent > 0 {
+		xs = slices.DeleteFunc(xs, func(e *engine) bool { return r.now < e.ejectedTill && e.ejectedTill < q.deadline-r.margin() })
+	}
 	if len(xs) < 2 || q.failed == nil {
 		return xs
 	}
--- a/internal/decide/ending/ending.go
+++ b/internal/decide/ending/ending.go
@@ -107,7 +107,9 @@
 		return f.Progress < Written
 	}
 	switch f.Meaning {
-	case Read, Turned, NoState, Judged:
+	case Read:
+		return f.Stage == Prefill
+	case Turned, NoState, Judged:
 		return true
 	}
 	return false
--- a/internal/decide/ending/ending_test.go
+++ b/internal/decide/ending/ending_test.go
@@ -78,3 +78,23 @@
 		}
 	}
 }
+
+// What the bytes prove is never more than what the verdict does: an attempt that may have run by the table is not proven not
+// to have. Walked over all facts.
+func TestBytesProveNoMoreThanTheVerdict(t *testing.T) {
+	for stage := Prefill; stage <= Decode; stage++ {
+		for progress := Unsent; progress <= Streaming; progress++ {
+			for cause := Answered; cause <= ClientLeft; cause++ {
+				for meaning := Error; meaning <= Judged; meaning++ {
+					f := Facts{Stage: stage, Progress: progress, Cause: cause, Meaning: meaning}
+					if cause == Answered && progress < Headed {
+						continue // no answer can have come
+					}
+					if ProvesNotRun(f) && Judge(f).Ran {
+						t.Errorf("%+v: proven not to have run, though it may have", f)
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/decide/ledger/audit.go
+++ b/internal/decide/ledger/audit.go
@@ -30,7 +30,7 @@
 			return fmt.Errorf("ledger: %s has ended and is still held", id)
 		case streaming > 1:
 			return fmt.Errorf("ledger: %s streams from %d attempts", id, streaming)
-		case len(e.attempts) > l.cfg.MaxAttempts:
+		case l.left(e) < 0:
 			return fmt.Errorf("ledger: %s has %d attempts", id, len(e.attempts))
 		}
 		if !e.concluded {
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -23,6 +23,7 @@
 	Classes     []brain.Class
 	MaxOpen     int     // requests held at once
 	MaxAttempts int     // for one request
+	UnsentFree  bool    // those that ended before their request was written do not count, up to as many again
 	Slack       float64 // s after a client's deadline at which the book answers by itself
 	DrainGrace  float64 // s after which nothing goes to an engine that drains or is gone
 	// ReleaseAll tells that one release lets go of all that any engine holds for a request. It then waits until no
@@ -124,6 +125,7 @@
 	ranOn     string
 	ranAt     float64
 	unheard   bool    // an attempt was written whole and ended without an answer
+	unsent    int     // attempts that ended before their request was written
 	unproven  bool    // the bytes of an attempt that has ended do not prove that it has not run
 	answering bool    // the answer belongs to an attempt
 	concluded bool    // the client has its answer, or has gone
@@ -355,6 +357,15 @@
 		Timeout: a.Timeout, WriteBy: writeBy})
 }
 
+// left is how many attempts a request may still have.
+func (l *Ledger) left(e *entry) int {
+	counted := len(e.attempts)
+	if l.cfg.UnsentFree {
+		counted -= min(e.unsent, l.cfg.MaxAttempts)
+	}
+	return l.cfg.MaxAttempts - counted
+}
+
 // overtaken is the one objection that is nobody's fault: the client left, or the answer began, while the module
 // was deciding.
 const overtaken = "the request has ended"
@@ -364,7 +375,7 @@
 	switch {
 	case e.concluded || e.answering:
 		return overtaken
-	case len(e.attempts) >= l.cfg.MaxAttempts:
+	case l.left(e) <= 0:
 		return "no attempt is left"
 	case s == nil:
 		return "no list has named this engine"
@@ -533,7 +544,7 @@
 // provenNotRun tells whether the bytes of every attempt prove that it has not run: it has ended, and either not all of its
 // request was written or its engine has answered that it did not run. That a read has no effect is no such proof: it rests on
 // which engine was met at its address, and that an engine which said nothing cannot tell.
-func (e *entry) provenNotRun() bool { return !e.unproven && e.out == 0 }
+func (e *entry) provenNotRun() bool { return !e.ran && !e.unproven && e.out == 0 }
 
 // conclude ends what the client is owed and stops what is still out: nothing is done for it after.
 func (l *Ledger) conclude(id string, e *entry, cause ending.Cause) {
@@ -604,12 +615,15 @@
 	t.over = true
 	e.out--
 	f.Stage, f.Agreed = t.stage, e.rejected != 0 && e.rejected == f.Code
-	f.Last = len(e.attempts) >= l.cfg.MaxAttempts
+	f.Last = l.left(e) <= 0
 	if t.streaming {
 		f.Progress = ending.Streaming
 	}
 	v := ending.Judge(f)
 	e.unheard = e.unheard || f.Cause != ending.Answered && f.Progress >= ending.Written
+	if f.Progress < ending.Written && f.Cause != ending.Answered {
+		e.unsent++
+	}
 	e.unproven = e.unproven || !ending.ProvesNotRun(f)
 	if f.Cause == ending.Answered && f.Meaning == ending.Judged && !v.Final {
 		e.rejected = f.Code
--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -409,3 +409,31 @@
 		}
 	})
 }
+
+// Attempts that ended before their request was written count towards the limit only where they are to, and beyond as many again.
+func TestUnsentAttemptsDoNotCount(t *testing.T) {
+	for free, want := range map[bool]int{false: 4, true: 8} {
+		l := newBook()
+		cfg := l.cfg
+		cfg.UnsentFree = free
+		l.Reconfigure(cfg)
+		l.Request(1, request("a", 1), 0)
+		l.Take()
+		n := 0
+		for range 20 {
+			l.Apply(1, brain.Send{ID: "a", Engine: "w0"})
+			starts := find[Start](l)
+			if len(starts) == 0 {
+				break
+			}
+			n++
+			l.Ended(1, "a", starts[0].N, ending.Facts{Progress: ending.Dialling, Cause: ending.Broken}, nil)
+			if err := l.Audit(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if n != want {
+			t.Errorf("free %v: got %d attempts, want %d", free, n, want)
+		}
+	}
+}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -47,9 +47,10 @@
 // relayPlan is the host's part of the configuration.
 func relayPlan(cfg *relay.Config) plan {
 	s, parts := cfg.Settings, cfg.Limits.Parts()
-	rules := s.Brain.Rules
-	return plan{brain: s.Brain, tick: s.Brain.Tick, letGoBy: rules.LetGoBy, held: parts.Bytes, anyone: true, resume: s.Resume,
-		book: ledger.Config{Classes: s.Brain.Classes, MaxOpen: parts.Clients, MaxAttempts: s.Brain.Limits.MaxAttempts,
+	rules, decisions := s.Brain.Rules, s.Brain
+	decisions.Limits.UnsentFree = true // an attempt counts once its last byte has come (PROTOCOL, nodes to engines)
+	return plan{brain: decisions, tick: s.Brain.Tick, letGoBy: rules.LetGoBy, held: parts.Bytes, anyone: true, resume: s.Resume,
+		book: ledger.Config{Classes: s.Brain.Classes, MaxOpen: parts.Clients, MaxAttempts: s.Brain.Limits.MaxAttempts, UnsentFree: true,
 			Slack: rules.AnswerSlack + relay.Slack.Seconds()/2, DrainGrace: rules.DrainGrace, ReleaseAll: true},
 		strain: strain.Limits{Files: cfg.Limits.Sockets, Connections: parts.Clients, Bytes: parts.Bytes,
 			Slack: rules.AnswerSlack + relay.Slack.Seconds()/2},
