Request ids are remembered for the window of their repeats, under a flood too

Read: 8,192 ids were remembered whatever their age, so that a flood could push one out while a second request under it still meant the first. Change: an id is kept as long as its class's client waits and engines know its repeats, up to four times as many ids.

--- a/internal/decide/intake/recent.go
+++ b/internal/decide/intake/recent.go
@@ -1,29 +1,53 @@
 package intake
 
 // Recent remembers ids that clients chose, so that one is not taken twice: a second request under the id of a first would
-// be taken for it by whoever knows requests by their ids. It holds a bounded number; the oldest go first. It is not safe for
-// concurrent use.
+// be taken for it by whoever knows requests by their ids. An id is remembered for a stated time at least, and longer while few
+// are; under a flood of ids the oldest go first. It does not read the clock and is not safe for concurrent use.
 type Recent struct {
-	ids  map[string]bool
-	ring []string
-	next int
+	few, most int
+	window    float64
+	ids       map[string]bool
+	queue     []seenID // in order of arrival, from first on
+	first     int
 }
 
-// NewRecent returns a memory of so many ids, at least one.
-func NewRecent(size int) *Recent {
-	size = max(1, size)
-	return &Recent{ids: make(map[string]bool, size), ring: make([]string, size)}
+// seenID is an id and when it was taken (s).
+type seenID struct {
+	id string
+	at float64
+}
+
+// floodFactor is how many times as many ids are remembered under a flood as else.
+const floodFactor = 4
+
+// NewRecent returns a memory of so many ids, at least one, and of those taken within the window (s), if that is more, up to four
+// times as many.
+func NewRecent(few int, window float64) *Recent {
+	few = max(1, few)
+	return &Recent{few: few, most: floodFactor * few, window: window, ids: map[string]bool{}}
 }
 
 // Take notes an id and tells whether it is new.
-func (r *Recent) Take(id string) bool {
+func (r *Recent) Take(now float64, id string) bool {
 	if r.ids[id] {
 		return false
 	}
-	if old := r.ring[r.next]; old != "" {
-		delete(r.ids, old)
+	r.ids[id] = true
+	r.queue = append(r.queue, seenID{id, now})
+	for r.tooMany(now) {
+		delete(r.ids, r.queue[r.first].id)
+		r.queue[r.first] = seenID{}
+		r.first++
+	}
+	if r.first > len(r.queue)/2 {
+		r.queue = append(r.queue[:0:0], r.queue[r.first:]...)
+		r.first = 0
 	}
-	r.ids[id], r.ring[r.next] = true, id
-	r.next = (r.next + 1) % len(r.ring)
 	return true
 }
+
+// tooMany tells whether the oldest id is to be forgotten.
+func (r *Recent) tooMany(now float64) bool {
+	n := len(r.queue) - r.first
+	return n > r.most || n > r.few && now > r.queue[r.first].at+r.window
+}
--- a/internal/decide/intake/recent_test.go
+++ b/internal/decide/intake/recent_test.go
@@ -7,26 +7,51 @@
 	"pgregory.net/rapid"
 )
 
-// An id is new once, for as long as fewer others than the size have come since; memory is bounded.
+// An id is new once: for as long as fewer others than the size have come since, and within the window as long as fewer than
+// four times as many have; memory is bounded.
 func TestRecentProperty(t *testing.T) {
+	type taken struct {
+		id string
+		at float64
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.IntRange(0, 20).Draw(t, "size")
-		r, taken := NewRecent(size), []string{}
-		for range rapid.IntRange(0, 100).Draw(t, "n") {
-			id := fmt.Sprint("id", rapid.IntRange(0, 30).Draw(t, "id"))
-			within := false
-			for _, x := range taken[max(0, len(taken)-max(1, size)):] {
-				within = within || x == id
+		window := rapid.Float64Range(0, 5).Draw(t, "window")
+		few, now, all := max(1, size), 0.0, []taken{}
+		r := NewRecent(size, window)
+		for range rapid.IntRange(0, 200).Draw(t, "n") {
+			now += rapid.Float64Range(0, 1).Draw(t, "later")
+			id := fmt.Sprint("id", rapid.IntRange(0, 120).Draw(t, "id"))
+			known := false
+			for i, x := range all {
+				since := len(all) - i - 1
+				known = known || x.id == id && (since < few || since < floodFactor*few && now <= x.at+window)
 			}
-			if r.Take(id) == within {
-				t.Fatalf("%s: new %v, among the last %v", id, !within, within)
+			fresh := r.Take(now, id)
+			if known && fresh {
+				t.Fatalf("%s was taken again within its window, or as one of the last %d", id, few)
 			}
-			if !within {
-				taken = append(taken, id)
+			if fresh {
+				all = append(all, taken{id, now})
 			}
-			if len(r.ids) > max(1, size) {
-				t.Fatalf("%d ids are held", len(r.ids))
+			if len(r.ids) > floodFactor*few || len(r.queue) > 2*floodFactor*few+2 {
+				t.Fatalf("%d ids are held in %d places", len(r.ids), len(r.queue))
 			}
 		}
 	})
 }
+
+// What is beyond the window and not among the last is forgotten.
+func TestRecentForgets(t *testing.T) {
+	r := NewRecent(2, 10)
+	for i, id := range []string{"a", "b", "c"} {
+		r.Take(float64(i), id)
+	}
+	if r.Take(5, "a") {
+		t.Error("a was forgotten within its window")
+	}
+	r.Take(11.5, "d")
+	if !r.Take(11.5, "a") {
+		t.Error("a is remembered beyond its window, three others having come since")
+	}
+}
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"dillroute/brain"
 	"dillroute/internal/decide/intake"
@@ -45,7 +46,7 @@
 	maxKey    = 256
 	maxBudget = 3600    // s
 	maxTokens = 1 << 20 // far beyond what a body can hold
-	recentIDs = 8192    // ids remembered: minutes of a node's traffic
+	recentIDs = 8192    // ids remembered at least: minutes of a node's traffic
 )
 
 // Front is the clients' side. It is safe for concurrent use.
@@ -59,18 +60,29 @@
 
 	mu     sync.Mutex
 	recent *intake.Recent
+	start  time.Time // of the clock of recent
 }
 
 // NewFront returns a front that makes its attempts by the engines' client given.
 func NewFront(s *settings.Settings, engines *Engines, ready func() bool, log *slog.Logger) *Front {
 	f := &Front{log: log, engines: engines, ready: ready, classes: index(s.Classes), tenants: index(s.Tenants),
-		recent: intake.NewRecent(recentIDs)}
+		recent: intake.NewRecent(recentIDs, repeatWindow(s)), start: time.Now()}
 	for _, c := range s.Brain.Classes {
 		f.effects = append(f.effects, c.Effect)
 	}
 	return f
 }
 
+// repeatWindow is how long an id may come again and mean its first request (s): as long as any client waits, and then as long
+// as engines know its repeats.
+func repeatWindow(s *settings.Settings) float64 {
+	window := 0.0
+	for _, c := range s.Brain.Classes {
+		window = max(window, c.HardLimit+c.KeyTTL)
+	}
+	return window
+}
+
 func index(names []string) map[string]int {
 	m := map[string]int{}
 	for i, n := range names {
@@ -120,7 +132,7 @@
 		return
 	}
 	f.mu.Lock()
-	fresh := f.recent.Take(q.ID)
+	fresh := f.recent.Take(time.Since(f.start).Seconds(), q.ID)
 	f.mu.Unlock()
 	if !fresh {
 		say(409, "the id was taken before")
