Idle connections end without a reset; a stop follows new configurations and is one stop

Read: a connection that had rested for too long was closed at once, so that a request in that moment met a reset; a node that was stopping took no new configuration, and would have missed drains told at the new address. Change: such a close shuts down and reads on (not one that makes room); SIGHUP counts during a stop. Tests: writes behind the end of an idle connection (seen to fail without the mend); the program stopped before its first list, twice, and beside SIGHUP, with a stream that runs on to its end.

--- a/internal/cli/relay.go
+++ b/internal/cli/relay.go
@@ -48,8 +48,11 @@
 			log.Info("stopped")
 			return withCode(ExitRun, failure)
 		case s := <-signals:
-			if s == syscall.SIGINT {
+			switch s {
+			case syscall.SIGINT:
 				n.Hurry()
+			case syscall.SIGHUP: // what drains is told at the new address, while attempts are still made
+				reloadRelay(n, log)
 			}
 		}
 	}
@@ -66,17 +69,22 @@
 				log.Info("stopping", "signal", s.String())
 				return nil
 			}
-			next, err := relay.Load(os.Getenv)
-			if err != nil {
-				log.Error("configuration not taken, the old one stays", "error", err.Error())
-				continue
-			}
-			n.Reload(next)
-			log.Info("configuration read again", "discovery", next.Discovery)
+			reloadRelay(n, log)
 		}
 	}
 }
 
+// reloadRelay takes the configuration as it is now.
+func reloadRelay(n *node.RelayNode, log *slog.Logger) {
+	next, err := relay.Load(os.Getenv)
+	if err != nil {
+		log.Error("configuration not taken, the old one stays", "error", err.Error())
+		return
+	}
+	n.Reload(next)
+	log.Info("configuration read again", "discovery", next.Discovery)
+}
+
 // bindLimits keeps the runtime within what the platform allows.
 func bindLimits(l relay.Limits) {
 	if l.Cores > 0 {
--- a/internal/cli/relay_test.go
+++ b/internal/cli/relay_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -45,29 +46,9 @@
 		}
 	}
 	write(platform.Config(platform.Settings, addr, d.Addr(), d.List(), 96, 256))
-	cmd := exec.Command(os.Args[0], "serve", "--relay")
-	cmd.Env = append(os.Environ(), "DILLROUTE_AS_PROGRAM=1", "RELAY_CONFIG="+file)
-	var logs bytes.Buffer
-	cmd.Stderr = &logs
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	ended := make(chan error, 1)
-	go func() { ended <- cmd.Wait() }()
-	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		resp, err := http.Get("http://" + addr + "/healthz")
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == 200 {
-				break
-			}
-		}
-		if time.Now().After(end) {
-			cmd.Process.Kill()
-			t.Fatalf("not ready in time: %v\n%s", err, logs.String())
-		}
-	}
-	http.DefaultClient.CloseIdleConnections()
+	prog := startRelay(t, addr, file)
+	cmd, ended, logs := prog.cmd, prog.ended, &prog.logs
+	prog.awaitReady(t)
 
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
@@ -153,6 +134,111 @@
 	}
 }
 
+// relayProcess is `dillroute serve --relay` as a process of its own.
+type relayProcess struct {
+	addr  string
+	cmd   *exec.Cmd
+	logs  bytes.Buffer
+	ended chan error
+}
+
+func startRelay(t *testing.T, addr, config string) *relayProcess {
+	t.Helper()
+	p := &relayProcess{addr: addr, cmd: exec.Command(os.Args[0], "serve", "--relay"), ended: make(chan error, 1)}
+	p.cmd.Env = append(os.Environ(), "DILLROUTE_AS_PROGRAM=1", "RELAY_CONFIG="+config)
+	p.cmd.Stderr = &p.logs
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.ended <- p.cmd.Wait() }()
+	return p
+}
+
+// await waits until the node answers at all with one of the statuses given.
+func (p *relayProcess) await(t *testing.T, statuses ...int) {
+	t.Helper()
+	defer http.DefaultClient.CloseIdleConnections()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		resp, err := http.Get("http://" + p.addr + "/healthz")
+		if err == nil {
+			resp.Body.Close()
+			if slices.Contains(statuses, resp.StatusCode) {
+				return
+			}
+		}
+		if time.Now().After(end) {
+			p.cmd.Process.Kill()
+			<-p.ended
+			t.Fatalf("status not one of %v in time: %v\n%s", statuses, err, p.logs.String())
+		}
+	}
+}
+
+func (p *relayProcess) awaitReady(t *testing.T) { t.Helper(); p.await(t, 200) }
+
+// A stop is one stop, however it is told: before the first list, twice, or beside a new configuration, under a stream that runs on.
+func TestServeRelayStopsHoweverItIsTold(t *testing.T) {
+	for name, signals := range map[string][]syscall.Signal{
+		"once": {syscall.SIGTERM}, "twice": {syscall.SIGTERM, syscall.SIGTERM},
+		"with a new configuration": {syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP},
+	} {
+		for _, listed := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, listed %v", name, listed), func(t *testing.T) {
+				t.Parallel()
+				p := platform.New("n0", &record.Log{})
+				r, w := p.Add("r0", "read"), p.Add("w0", "write")
+				w.Step = 60 * time.Millisecond
+				d := p.Discover(r, w)
+				defer func() { d.Close(); p.Stop() }()
+				known := d.List()
+				if !listed {
+					known = nil
+					d.Bad("", true) // it says nothing
+				}
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				addr := l.Addr().String()
+				l.Close()
+				file := filepath.Join(t.TempDir(), "config.json")
+				if err := platform.WriteConfig(file, platform.Config(platform.Settings, addr, d.Addr(), known, 96, 256)); err != nil {
+					t.Fatal(err)
+				}
+				prog := startRelay(t, addr, file)
+				prog.await(t, map[bool]int{true: 200, false: 503}[listed])
+				stream := make(chan platform.Answer, 1)
+				if listed {
+					go func() {
+						stream <- p.Do(addr, platform.Ask{Op: "a", Class: "chat", Tenant: "branch", Tokens: 12, Patience: 3 * time.Second})
+					}()
+					for w.Writing() == 0 {
+						time.Sleep(time.Millisecond)
+					}
+				}
+				for _, s := range signals {
+					prog.cmd.Process.Signal(s)
+					time.Sleep(20 * time.Millisecond) // two signals of a kind at once are one
+				}
+				if listed {
+					if a := <-stream; a.Outcome != record.Served {
+						t.Errorf("got %+v, want the stream that ran", a)
+					}
+				}
+				select {
+				case err := <-prog.ended:
+					if err != nil {
+						t.Errorf("ended with %v\n%s", err, prog.logs.String())
+					}
+				case <-time.After(10 * time.Second):
+					prog.cmd.Process.Kill()
+					t.Fatalf("did not end\n%s", prog.logs.String())
+				}
+			})
+		}
+	}
+}
+
 func TestServeRelayTellsWhatIsWrong(t *testing.T) {
 	t.Setenv("RELAY_CONFIG", filepath.Join(t.TempDir(), "none.json"))
 	for _, c := range []struct {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -360,6 +360,27 @@
 	}
 }
 
+// What a client sends in the moment in which its connection has rested for too long meets no reset, which would make it look as
+// though the node had failed: the connection is shut down, and read on before it closes.
+func TestIdleConnectionsEndWithoutAReset(t *testing.T) {
+	s := &Server{Times: Times{Head: time.Second, Body: time.Second, Idle: 20 * time.Millisecond, Write: time.Second, Linger: 5 * time.Second}}
+	c := dial(t, serve(t, s))
+	br := bufio.NewReader(c)
+	io.WriteString(c, ok+"\r\n")
+	if resp, err := http.ReadResponse(br, nil); err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Fatalf("got %v, want the end of the connection", err)
+	}
+	for i := range 3 {
+		if _, err := io.WriteString(c, ok+"\r\n"); err != nil {
+			t.Fatalf("write %d behind the end: %v", i, err)
+		}
+		time.Sleep(5 * time.Millisecond) // for a reset to cross
+	}
+}
+
 // A draining server ends an idle connection so that what its client sends just then meets no reset.
 func TestDrainEndsIdleConnectionsWithoutAReset(t *testing.T) {
 	s := &Server{Times: Times{Head: time.Second, Body: time.Second, Idle: 10 * time.Second, Write: time.Second, DrainIdle: 30 * time.Millisecond, Linger: time.Second}}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -339,7 +339,7 @@
 		}
 		c.nc.SetReadDeadline(time.Now().Add(wait))
 		if _, err := c.br.Peek(1); err != nil && !c.cameLate(err) {
-			c.linger(!s.draining.Load())
+			c.endIdle(err)
 			return
 		}
 		c.idle.Store(false)
@@ -373,6 +373,13 @@
 	}
 }
 
+// endIdle ends a connection between requests, on which a read has failed. One whose time is over is read on for a moment: what its
+// client sends just then would meet a reset. One that makes room for others, or that its client has ended, is not.
+func (c *conn) endIdle(err error) {
+	makesRoom := c.rest.Load() == 0
+	c.linger(makesRoom || !errors.Is(err, os.ErrDeadlineExceeded))
+}
+
 // cameLate tells whether a request came in the very moment in which the time of an idle connection ran out: a read whose deadline has
 // passed fails, whatever is there. A close over it would be a reset.
 func (c *conn) cameLate(err error) bool {
--- a/lab/platform/engine.go
+++ b/lab/platform/engine.go
@@ -57,6 +57,7 @@
 	faults  []Fault // of the next answers of its role
 	stopped bool
 	slow    time.Duration // before a read or an answer begins
+	begun   int           // streams that were begun
 	whole   int           // streams that were written to their last chunk
 }
 
@@ -87,6 +88,13 @@
 	e.mu.Unlock()
 }
 
+// Writing returns how many streams were begun.
+func (e *Engine) Writing() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.begun
+}
+
 // Whole returns how many streams were written to their last chunk.
 func (e *Engine) Whole() int {
 	e.mu.Lock()
@@ -337,6 +345,9 @@
 // stream writes events, two tokens each, and spoils what it is told to half way.
 func (e *Engine) stream(c net.Conn, op Op, fault Fault, gone <-chan struct{}) bool {
 	io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	e.mu.Lock()
+	e.begun++
+	e.mu.Unlock()
 	for i := 0; i < op.Tokens; i++ {
 		if i == op.Tokens/2 {
 			switch fault {
