The end of a server waits for connections that come in that moment; departures and releases forced

Seen by the race detector in a new test of clients that leave: Server.Wait and Close waited on a WaitGroup to which the accepting goroutine still added, and a server that was closed before it had begun accepted for ever. Change: connections are counted under the lock; a server that is closed, or draining, before it begins does as it was told.

--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -665,6 +665,40 @@
 	}
 }
 
+// A connection that comes in the moment in which the server is waited for, or closed, is served or closed, and waited for: a few
+// hundred times, in whatever order the scheduler has them.
+func TestConnectionsCrossTheEndOfTheServer(t *testing.T) {
+	for i := range 300 {
+		s := &Server{Handler: HandlerFunc(echo), Limits: DefaultLimits, Times: Times{Head: time.Second, Body: time.Second, Idle: time.Second,
+			Write: time.Second, DrainAccept: time.Second, DrainIdle: time.Millisecond}}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		served, dialled := make(chan struct{}), make(chan struct{})
+		go func() { defer close(served); s.Serve(l) }()
+		go func() {
+			defer close(dialled)
+			for range 3 {
+				if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+					if i%2 == 0 {
+						io.WriteString(c, ok+"\r\n")
+					}
+					c.Close()
+				}
+			}
+		}()
+		s.Drain()
+		s.Wait(time.Duration(i%3) * time.Millisecond)
+		s.Close()
+		<-dialled
+		<-served
+		if n := s.Conns(); n > 0 {
+			t.Fatalf("round %d: %d connections are open after Close", i, n)
+		}
+	}
+}
+
 // A node that is killed drops what its owner had not looked at yet. Nobody answers those exchanges any more, and a
 // Close that waited for them never returned (seen in a fleet of 60 nodes under pressure).
 func TestCloseDoesNotWaitForAnExchangeThatNobodyAnswers(t *testing.T) {
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -82,7 +82,8 @@
 	draining atomic.Bool
 	idleBy   atomic.Int64 // Unix nanoseconds until when a draining server reads idle connections
 	held     atomic.Int64
-	wg       sync.WaitGroup
+	closed   bool      // no connection is served any more
+	ended    sync.Cond // a connection has ended; its lock is mu
 }
 
 // conn is one client connection. br belongs to its goroutine; out to whoever ends the present exchange.
@@ -106,7 +107,14 @@
 	s.listener = l
 	if s.conns == nil {
 		s.conns = map[*conn]struct{}{}
-		s.room.L = &s.mu
+		s.room.L, s.ended.L = &s.mu, &s.mu
+	}
+	if s.closed {
+		s.mu.Unlock()
+		return l.Close()
+	}
+	if s.draining.Load() { // told before it had begun
+		s.stopAccepting()
 	}
 	s.mu.Unlock()
 	for {
@@ -150,11 +158,17 @@
 		}
 		s.lobby++
 	}
+	if s.closed {
+		if full {
+			s.lobby--
+		}
+		s.mu.Unlock()
+		nc.Close()
+		return
+	}
 	s.conns[c] = struct{}{}
-	s.wg.Add(1)
 	s.mu.Unlock()
 	go func() {
-		defer s.wg.Done()
 		if full {
 			c.turnAway()
 		} else {
@@ -168,6 +182,7 @@
 			s.lobby--
 			s.room.Signal()
 		}
+		s.ended.Broadcast()
 		s.mu.Unlock()
 	}()
 }
@@ -262,11 +277,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.room.Broadcast()
-	if l, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok && !s.Shared {
-		l.SetDeadline(time.Now().Add(orElse(s.Times.DrainAccept, drainAccept)))
-	} else if s.listener != nil {
-		s.listener.Close()
-	}
+	s.stopAccepting()
 	for c := range s.conns {
 		if c.idle.Load() {
 			c.nc.SetReadDeadline(now.Add(orElse(s.Times.DrainIdle, drainIdle)))
@@ -274,6 +285,15 @@
 	}
 }
 
+// stopAccepting ends the listener: soon, or at once where others accept from it too. The lock is held.
+func (s *Server) stopAccepting() {
+	if l, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok && !s.Shared {
+		l.SetDeadline(time.Now().Add(orElse(s.Times.DrainAccept, drainAccept)))
+	} else if s.listener != nil {
+		s.listener.Close()
+	}
+}
+
 // Times that a protocol may set otherwise.
 const (
 	drainAccept = 50 * time.Millisecond
@@ -296,14 +316,20 @@
 
 // Wait waits until all connections have ended, or the time has passed; it tells whether they have.
 func (s *Server) Wait(d time.Duration) bool {
-	done := make(chan struct{})
-	go func() { s.wg.Wait(); close(done) }()
-	select {
-	case <-done:
-		return true
-	case <-time.After(d):
-		return false
+	over := false
+	timer := time.AfterFunc(d, func() {
+		s.mu.Lock()
+		over = true
+		s.ended.Broadcast()
+		s.mu.Unlock()
+	})
+	defer timer.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.conns) > 0 && !over {
+		s.ended.Wait()
 	}
+	return len(s.conns) == 0
 }
 
 // Close cuts all connections and waits for their goroutines. An exchange that nobody will answer any more (its owner
@@ -311,6 +337,8 @@
 func (s *Server) Close() {
 	s.draining.Store(true)
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
 	s.room.Broadcast()
 	if s.listener != nil {
 		s.listener.Close()
@@ -321,8 +349,9 @@
 			x.Cut()
 		}
 	}
-	s.mu.Unlock()
-	s.wg.Wait()
+	for len(s.conns) > 0 {
+		s.ended.Wait()
+	}
 }
 
 // serve reads requests one after another; each is answered before the next is parsed, so that pipelined
--- a/lab/platform/engine.go
+++ b/lab/platform/engine.go
@@ -57,6 +57,7 @@
 	faults  []Fault // of the next answers of its role
 	stopped bool
 	slow    time.Duration // before a read or an answer begins
+	hung    chan struct{} // closed when the engine no longer hangs; nil = it does not
 	begun   int           // streams that were begun
 	whole   int           // streams that were written to their last chunk
 }
@@ -102,6 +103,19 @@
 	return e.whole
 }
 
+// Hang has the engine take connections and requests, and do nothing with them, until it is called with false.
+func (e *Engine) Hang(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case on && e.hung == nil:
+		e.hung = make(chan struct{})
+	case !on && e.hung != nil:
+		close(e.hung)
+		e.hung = nil
+	}
+}
+
 // Slow sets how long the engine waits before it begins.
 func (e *Engine) Slow(d time.Duration) {
 	e.mu.Lock()
@@ -185,16 +199,22 @@
 
 // answer deals with one request; false = the connection ends.
 func (e *Engine) answer(c net.Conn, br *bufio.Reader, r *http.Request, body []byte) bool {
+	gone, next := watch(br)
 	if call, ok := strings.CutPrefix(r.URL.Path, "/v1/holds/"); ok && r.Method == "DELETE" {
+		if !e.lives(gone) {
+			return false
+		}
 		e.p.release(call, "released")
-		_, err := io.WriteString(c, "HTTP/1.1 204 x\r\n\r\n")
-		return err == nil
+		if _, err := io.WriteString(c, "HTTP/1.1 204 x\r\n\r\n"); err != nil {
+			return false
+		}
+		return another(gone, next)
 	}
 	call := r.Header.Get("X-Call-Id")
 	op, known := e.p.op(call)
 	if !known {
 		e.p.Log.Add(record.Record{Kind: record.More, Op: "void:" + call, Note: "an id that no client sent"})
-		return reply(c, 400, "", "no client sent this id")
+		return reply(c, 400, "", "no client sent this id") && another(gone, next)
 	}
 	told, _ := strconv.ParseFloat(r.Header.Get("X-Budget"), 64)
 	e.p.mu.Lock()
@@ -213,8 +233,10 @@
 	end := rec
 	end.Kind = record.End
 	defer func() { e.p.Log.Add(end) }()
+	if !e.lives(gone) {
+		return false
+	}
 	fault, slow := e.fault()
-	gone, next := watch(br)
 	select {
 	case <-time.After(slow):
 	case <-gone:
@@ -229,6 +251,27 @@
 	if !keep {
 		return false
 	}
+	return another(gone, next)
+}
+
+// lives waits while the engine hangs; false = the connection ended first.
+func (e *Engine) lives(gone <-chan struct{}) bool {
+	e.mu.Lock()
+	hung := e.hung
+	e.mu.Unlock()
+	if hung == nil {
+		return true
+	}
+	select {
+	case <-hung:
+		return true
+	case <-gone:
+		return false
+	}
+}
+
+// another waits for the next request on a connection; false = there is none.
+func another(gone, next <-chan struct{}) bool {
 	select {
 	case <-gone:
 		return false
