The request table is five files by concern: commands, members, attempts, releases, responses

Seen: the sorted lines of the files are those of the one before; the package's tests pass with -race.

--- /dev/null
+++ b/internal/decide/ledger/attempts.go
@@ -0,0 +1,260 @@
+package ledger
+
+import (
+	"dillroute/brain"
+	"dillroute/internal/decide/ending"
+)
+
+// attempt is one attempt of a request.
+type attempt struct {
+	n         int // its number among the module's
+	engine    string
+	stage     ending.Stage
+	sentAt    float64
+	over      bool
+	aborting  bool
+	streaming bool
+	withState bool
+	stateN    int // the attempt that read the state which this one fetches
+}
+
+// attempt returns an attempt by its number; nil = it was never begun.
+func (e *entry) attempt(n int) *attempt {
+	for i := range e.attempts {
+		if e.attempts[i].n == n {
+			return &e.attempts[i]
+		}
+	}
+	return nil
+}
+
+// took tells whether the attempt was given the state that the entry holds.
+func (t *attempt) took(e *entry) bool { return t.withState && t.stateN == e.stateN }
+
+// send checks an attempt against the rules and starts it. One that may not be made ends at once as not sent.
+func (l *Ledger) send(now float64, a brain.Send) {
+	e := l.open[a.ID]
+	if e == nil {
+		l.fault("send for %s, which is not open", a.ID)
+		return
+	}
+	n, s := e.sent, l.engines[a.Engine]
+	e.sent++
+	t := attempt{n: n, engine: a.Engine, sentAt: now, stage: ending.Decode}
+	if s != nil && s.role == brain.Read {
+		t.stage = ending.Prefill
+	}
+	t.withState, t.stateN = t.stage == ending.Decode && e.state != "", e.stateN
+	why := l.objection(now, e, s, &t)
+	if why != "" {
+		if why != overtaken {
+			l.fault("send of %s to %s: %s", a.ID, a.Engine, why)
+		}
+		l.emit(brain.Outcome{ID: a.ID, Attempt: n, Engine: a.Engine, Status: brain.NotSent, Closed: e.concluded})
+		return
+	}
+	writeBy := l.repeatBy(e) // of the attempts before this one
+	e.attempts = append(e.attempts, t)
+	e.out++
+	l.do(Start{ID: a.ID, Engine: a.Engine, N: n, Stage: t.stage, State: t.withState, StateN: e.stateN,
+		Timeout: a.Timeout, WriteBy: writeBy})
+}
+
+// left is how many attempts a request may still have.
+func (l *Ledger) left(e *entry) int {
+	counted := len(e.attempts)
+	if l.cfg.UnsentFree {
+		counted -= min(e.unsent, l.cfg.MaxAttempts)
+	}
+	return l.cfg.MaxAttempts - counted
+}
+
+// overtaken is the one objection that is nobody's fault: the client left, or the answer began, while the module
+// was deciding.
+const overtaken = "the request has ended"
+
+// objection says which rule an attempt would break; "" = none.
+func (l *Ledger) objection(now float64, e *entry, s *seen, t *attempt) string {
+	switch {
+	case e.concluded || e.answering:
+		return overtaken
+	case l.left(e) <= 0:
+		return "no attempt is left"
+	case s == nil:
+		return "no list has named this engine"
+	case s.state != brain.Ready && now > s.since+l.cfg.DrainGrace:
+		return "the engine drains or is gone"
+	case !l.mayRunAgain(now, e, t.engine):
+		return "its effect could happen twice"
+	}
+	return ""
+}
+
+// mayRunAgain is rule 2 for a further attempt: others that are out may run. It holds for reads as well, for though they have no
+// effect, whatever is sent after one that may have run counts as sent again.
+func (l *Ledger) mayRunAgain(now float64, e *entry, engine string) bool {
+	if e.class.Effect == brain.Repeatable {
+		return true
+	}
+	on, at, ran := e.mayRun()
+	if !ran {
+		return true
+	}
+	if e.class.Effect == brain.Once || now > at+e.class.KeyTTL {
+		return false
+	}
+	a, b := l.engines[on], l.engines[engine]
+	switch {
+	case e.class.Group == brain.GroupAll:
+		return true
+	case a == nil || b == nil:
+		return false
+	case e.class.Group == brain.GroupZone:
+		return a.zone == b.zone
+	}
+	return a.cell == b.cell
+}
+
+// mayRun returns where and when the first attempt was sent that may have run, or may yet.
+func (e *entry) mayRun() (on string, at float64, ran bool) {
+	if e.ran {
+		return e.ranOn, e.ranAt, true
+	}
+	for i := range e.attempts {
+		if x := &e.attempts[i]; !x.over && x.stage == ending.Decode {
+			return x.engine, x.sentAt, true
+		}
+	}
+	return "", 0, false
+}
+
+// repeatBy is when the time ends in which a repeat of a keyed request is known as one; 0 = there is no such time.
+func (l *Ledger) repeatBy(e *entry) float64 {
+	if _, at, ran := e.mayRun(); ran && e.class.Effect == brain.ByKey {
+		return at + e.class.KeyTTL
+	}
+	return 0
+}
+
+// cancel ends an attempt that has not begun to stream.
+func (l *Ledger) cancel(a brain.Cancel) {
+	e := l.open[a.ID]
+	if e == nil {
+		return // it had ended
+	}
+	if t := e.attempt(a.Attempt); t != nil && !t.over && !t.streaming && !t.aborting {
+		t.aborting = true
+		l.do(Abort{a.ID, a.Attempt, ending.Stopped})
+	}
+}
+
+// First is told when the first token of an attempt has come; the attempt waits for its Grant.
+func (l *Ledger) First(now float64, id string, n int) {
+	e := l.open[id]
+	if e == nil || e.attempt(n) == nil {
+		l.fault("first token for %s, attempt %d, which is not open", id, n)
+		return
+	}
+	t := e.attempt(n)
+	if e.concluded || e.answering || t.over || t.aborting {
+		l.do(Grant{id, n, false})
+		return
+	}
+	e.answering, t.streaming = true, true
+	if e.state != "" && !t.took(e) { // it read the prompt itself
+		l.letGo(id, e, Release{Engine: e.state, N: e.stateN})
+	}
+	e.state = "" // else the fetch has ended: the reader let its memory go
+	l.do(Grant{id, n, true})
+	l.emit(brain.First{ID: id, Attempt: n, Engine: t.engine, Spent: now - t.sentAt})
+	for i := range e.attempts { // a second copy has lost
+		if o := &e.attempts[i]; o != t && !o.over && !o.aborting {
+			o.aborting = true
+			l.do(Abort{id, o.n, ending.Stopped})
+		}
+	}
+}
+
+// Ended is told, once, when an attempt has ended. The report may be nil.
+func (l *Ledger) Ended(now float64, id string, n int, f ending.Facts, rep *brain.Report) {
+	e := l.open[id]
+	if e == nil || e.attempt(n) == nil || e.attempt(n).over {
+		l.fault("end of attempt %d of %s, which is not out", n, id)
+		return
+	}
+	t := e.attempt(n)
+	t.over = true
+	e.out--
+	f.Stage, f.Agreed = t.stage, e.rejected != 0 && e.rejected == f.Code
+	f.Last = l.left(e) <= 0
+	if t.streaming {
+		f.Progress = ending.Streaming
+	}
+	v := ending.Judge(f)
+	e.unheard = e.unheard || f.Cause != ending.Answered && f.Progress >= ending.Written
+	if f.Progress < ending.Written && f.Cause != ending.Answered {
+		e.unsent++
+	}
+	e.unproven = e.unproven || !ending.ProvesNotRun(f)
+	if f.Cause == ending.Answered && f.Meaning == ending.Judged && !v.Final {
+		e.rejected = f.Code
+	}
+	if v.Ran && !e.ran {
+		e.ran, e.ranOn, e.ranAt = true, t.engine, t.sentAt
+	}
+	l.states(now, id, e, n, v)
+	l.flush(e)
+	closed := l.closes(id, e, n, v)
+	l.emit(brain.Outcome{ID: id, Attempt: n, Engine: t.engine, Status: v.Status, Info: v.Info,
+		Spent: now - t.sentAt, Closed: closed || e.concluded, Report: rep})
+	if t.streaming && e.farewell != nil {
+		if v.Status != brain.Served { // else the answer was whole before it could be stopped
+			l.do(*e.farewell)
+		}
+		e.farewell = nil
+	}
+	if closed {
+		l.conclude(id, e, ending.Overtaken)
+	}
+	l.settle(id, e)
+}
+
+// states keeps the book of the state that waits at a reader.
+func (l *Ledger) states(now float64, id string, e *entry, n int, v ending.Verdict) {
+	t := e.attempt(n)
+	switch {
+	case v.Status == brain.Parsed:
+		if e.state != "" { // read twice: one of the two will not be taken
+			l.letGo(id, e, Release{Engine: e.state, N: e.stateN})
+		}
+		e.state, e.stateN = t.engine, n
+	case v.Holds, l.cfg.ReleaseAll && !t.withState && v.Ran && v.Status != brain.Served:
+		// Cut reads may have ended well, and an engine that read for itself keeps what it has read.
+		l.letGo(id, e, Release{Engine: t.engine, N: n, CutAt: now})
+	case t.took(e) && (v.Status == brain.TurnedAway && v.Info == 1 || v.Status == brain.Served && !v.Final):
+		if l.cfg.ReleaseAll && v.Status == brain.TurnedAway { // gone for the writer; the reader may know better
+			l.letGo(id, e, Release{Engine: e.state, N: e.stateN})
+		}
+		e.state = ""
+	}
+}
+
+// closes settles what the end of an attempt means for the client. An answer that began and broke
+// ends the request: the client has part of it, and the module is told so.
+func (l *Ledger) closes(id string, e *entry, n int, v ending.Verdict) bool {
+	t := e.attempt(n)
+	switch {
+	case e.concluded:
+		return false
+	case v.Final:
+		l.do(Pass{id, n})
+		return true
+	case t.streaming && v.Status == brain.Served:
+		return true
+	case t.streaming:
+		a := ending.Broke(e.class.Effect, e.class.Group)
+		l.do(Answer{id, a, 0, "the engine stopped before the answer was complete"})
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/decide/ledger/members.go
@@ -0,0 +1,83 @@
+package ledger
+
+import (
+	"dillroute/brain"
+)
+
+// seen is what the book knows of an engine.
+type seen struct {
+	listed bool
+	state  brain.EngineState
+	since  float64 // when this state was told
+	cell   int
+	zone   int
+	role   brain.Role
+}
+
+// Members files a list before the module sees it, so that both know the same. since is when it was learned.
+func (l *Ledger) Members(now float64, m brain.Members) {
+	if m.Form == brain.ListLost {
+		l.emit(m)
+		return
+	}
+	named := map[string]bool{}
+	for _, n := range m.Engines {
+		named[n.ID] = true
+		s := l.engines[n.ID]
+		if s == nil {
+			s = &seen{since: now}
+			l.engines[n.ID] = s
+		}
+		if s.state != n.State {
+			s.state, s.since = n.State, now
+		}
+		s.listed, s.cell, s.zone = n.State != brain.Removed, n.Cell, n.Zone
+		if n.Kind >= 0 && n.Kind < len(l.kinds) {
+			s.role = l.kinds[n.Kind].Role
+		}
+	}
+	if m.Form != brain.ListChanges {
+		for id, s := range l.engines {
+			if !named[id] && s.state != brain.Removed {
+				s.state, s.since, s.listed = brain.Removed, now, false
+			}
+		}
+	}
+	l.prune(now)
+	l.emit(m)
+}
+
+// keepRemoved is how long an engine that was removed is remembered, at least (s): longer than any request is open
+// before its answer begins, so that none is forgotten whose effect may yet be asked for.
+const keepRemoved = 120
+
+// prune forgets engines that were removed long ago: where they are replaced all day, there is no end of them.
+func (l *Ledger) prune(now float64) {
+	for id, s := range l.engines {
+		if s.state == brain.Removed && now > s.since+keepRemoved {
+			delete(l.engines, id)
+		}
+	}
+}
+
+// Listed tells whether an engine may be sent something new.
+func (l *Ledger) Listed(id string) bool {
+	s := l.engines[id]
+	return s != nil && s.state == brain.Ready
+}
+
+// Known tells whether an engine is remembered.
+func (l *Ledger) Known(id string) bool { return l.engines[id] != nil }
+
+// Ready tells whether the node may be sent requests: it is not closing, and some engine is listed as ready.
+func (l *Ledger) Ready() bool {
+	if l.closing {
+		return false
+	}
+	for _, s := range l.engines {
+		if s.state == brain.Ready {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/decide/ledger/responses.go
@@ -0,0 +1,146 @@
+package ledger
+
+import (
+	"dillroute/brain"
+	"dillroute/internal/decide/ending"
+)
+
+// answer concludes a request by the node's own word. A refusal after an effect is possible would be a lie: it
+// becomes a failure.
+func (l *Ledger) answer(now float64, id string, a ending.Answer, after float64, reason string) {
+	e := l.open[id]
+	if e == nil || e.concluded || e.answering {
+		return
+	}
+	if a.Retry && !ending.Repeats(e.class.Effect, e.class.Group, !e.provenNotRun()) {
+		if _, _, ran := e.mayRun(); ran {
+			l.fault("refusal of %s, which may have run", id)
+		}
+		a, after = ending.Failed(), 0
+	}
+	if a.Retry && l.lastWord(now, e) {
+		a, after = ending.Failed(), 0
+	}
+	l.say(e, Answer{id, a, after, reason})
+	l.conclude(id, e, ending.Overtaken)
+}
+
+// comeBack is the time in which no client can come again (s).
+const comeBack = 0.1
+
+// lastWord tells that a refusal would be of no use, its client's time being up, and rests on an engine that was sent the whole
+// of a request and never said what became of it. A class that must not run twice is better served by a failure then.
+func (l *Ledger) lastWord(now float64, e *entry) bool {
+	return e.unheard && e.class.Effect != brain.Repeatable && now > e.deadline-comeBack
+}
+
+// say gives an answer now, or when the attempt that writes to the client has stopped.
+func (l *Ledger) say(e *entry, a Answer) {
+	for i := range e.attempts {
+		if t := &e.attempts[i]; t.streaming && !t.over {
+			e.farewell = &a
+			return
+		}
+	}
+	l.do(a)
+}
+
+// provenNotRun tells whether the bytes of every attempt prove that it has not run: it has ended, and either not all of its
+// request was written or its engine has answered that it did not run. That a read has no effect is no such proof: it rests on
+// which engine was met at its address, and that an engine which said nothing cannot tell.
+func (e *entry) provenNotRun() bool { return !e.ran && !e.unproven && e.out == 0 }
+
+// conclude ends what the client is owed and stops what is still out: nothing is done for it after.
+func (l *Ledger) conclude(id string, e *entry, cause ending.Cause) {
+	if e.concluded {
+		return
+	}
+	e.concluded = true
+	l.live--
+	for i := range e.attempts {
+		if t := &e.attempts[i]; !t.over && !t.aborting {
+			t.aborting = true
+			l.do(Abort{id, t.n, cause})
+		}
+	}
+	l.settle(id, e)
+}
+
+// Hangup is told when a client has gone. Where its receiving side may still be open (half), it gets an answer.
+func (l *Ledger) Hangup(now float64, id string, half bool) {
+	e := l.open[id]
+	if e == nil || e.concluded {
+		return
+	}
+	if half {
+		retry := ending.Repeats(e.class.Effect, e.class.Group, !e.provenNotRun())
+		l.say(e, Answer{id, ending.Answer{HTTP: 400, Code: "client_closed", Retry: retry}, 0,
+			"the client closed its side before the answer; keep it open until then"})
+	}
+	l.emit(brain.Gone{ID: id})
+	l.conclude(id, e, ending.ClientLeft)
+}
+
+// Overdue is told when the time of Deadline has come. The module answers before it; this is the net under it.
+func (l *Ledger) Overdue(now float64, id string) {
+	e := l.open[id]
+	switch {
+	case e == nil || e.concluded:
+		return
+	case e.answering:
+		if e.wholeBy > 0 && now >= e.wholeBy {
+			l.giveUp(now, id, e, ending.TooSlow(e.class.Effect, e.class.Group), "the answer was not whole in time")
+		}
+		return
+	}
+	l.fault("request %s was not answered in time by the module", id)
+	l.giveUp(now, id, e, ending.Answer{HTTP: 503, Code: "no_capacity", Retry: true}, "no answer in time")
+}
+
+// giveUp answers in the module's place and tells it so.
+func (l *Ledger) giveUp(now float64, id string, e *entry, a ending.Answer, reason string) {
+	if a.Retry && (l.lastWord(now, e) || !ending.Repeats(e.class.Effect, e.class.Group, !e.provenNotRun())) {
+		a = ending.Failed()
+	}
+	l.say(e, Answer{id, a, 0, reason})
+	l.emit(brain.Gone{ID: id})
+	l.conclude(id, e, ending.Overtaken)
+}
+
+// EndAll answers every request that is still open, as refused where that is true and else as failed. Streams
+// that run are ended with an error.
+func (l *Ledger) EndAll(now float64) { l.end(now, true) }
+
+// Streaming returns the requests whose answers run, in order of their ids, with the times at which they were sent.
+func (l *Ledger) Streaming() (ids []string, sent []float64) {
+	for _, id := range sortedKeys(l.open) {
+		e := l.open[id]
+		for i := range e.attempts {
+			if t := &e.attempts[i]; t.streaming && !t.over && !e.concluded {
+				ids, sent = append(ids, id), append(sent, t.sentAt)
+			}
+		}
+	}
+	return ids, sent
+}
+
+// Move ends a stream whose client comes again for the rest. It does nothing to what does not stream.
+func (l *Ledger) Move(now float64, id string) {
+	if e := l.open[id]; e != nil && e.answering && !e.concluded {
+		l.giveUp(now, id, e, ending.Answer{HTTP: 503, Code: "node_stopping", Retry: true}, "the node is stopping")
+	}
+}
+
+// EndHeld answers every request whose answer has not begun.
+func (l *Ledger) EndHeld(now float64) { l.end(now, false) }
+
+func (l *Ledger) end(now float64, streams bool) {
+	for _, id := range sortedKeys(l.open) {
+		e := l.open[id]
+		if e.concluded || e.answering && !streams {
+			continue
+		}
+		a := ending.Answer{HTTP: 503, Code: "node_stopping", Retry: true}
+		l.giveUp(now, id, e, a, "the node is stopping")
+	}
+}
