--- a/internal/decide/letgo/letgo.go
+++ b/internal/decide/lease/lease.go
@@ -1,15 +1,15 @@
-// Package letgo decides when a call that lets go of a state is made again. A state must be gone within a stated time
-// (rule 5), a call may be lost, and an engine that answered, or cannot be there any more, needs no second one.
-// It does no I/O and reads no clock.
-package letgo
+// Package lease decides when a call that releases the state held for a request is made again. A state must be released
+// within a stated time (rule 5); a call may be lost, and an engine that answered, or that cannot be there any more, needs no
+// second one. It does no I/O and reads no clock.
+package lease
 
 import "slices"
 
-// Plan is one state that is to be let go of. Times are in seconds.
+// Plan is the release of one state. Times are in seconds.
 type Plan struct {
 	By    float64 // the latest time at which it may still be held
 	Tries int     // calls made so far
-	Any   bool    // any engine lets go of what any holds: another one is asked next, so there is nothing to wait for
+	Any   bool    // any engine releases what any holds: another one is asked next, so there is nothing to wait for
 }
 
 // Outcome is what a call came to.
@@ -17,7 +17,7 @@
 
 // Outcomes of a call.
 const (
-	Answered Outcome = iota // the engine answered, with whatever status: it has let go, or lacks the call
+	Answered Outcome = iota // the engine answered, with whatever status: it has released the state, or lacks the call
 	Lost                    // no connection, or none that lasted: it may not have heard
 )
 
@@ -75,7 +75,7 @@
 	callPart  = 4.0
 )
 
-// Engine is one that may be asked to let go, where any engine can.
+// Engine is one that may be asked to release, where any engine can.
 type Engine struct {
 	ID        string
 	Listed    bool
--- a/internal/decide/letgo/letgo_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -1,4 +1,4 @@
-package letgo
+package lease
 
 import (
 	"testing"
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -7,8 +7,8 @@
 
 	"dillroute/brain"
 	"dillroute/internal/decide/ending"
+	"dillroute/internal/decide/lease"
 	"dillroute/internal/decide/ledger"
-	"dillroute/internal/decide/letgo"
 	"dillroute/internal/http1"
 	"dillroute/internal/protocol"
 )
@@ -79,7 +79,7 @@
 		if freed != nil {
 			select {
 			case <-freed:
-			case <-time.After(seconds(letgo.Ahead)):
+			case <-time.After(seconds(lease.Ahead)):
 			}
 		}
 		n.ended(cmd, a.Run(s))
@@ -145,9 +145,9 @@
 // once, in the order of the book's commands: an attempt that was begun in the same pass may take long to connect, and the time of
 // what is held runs on meanwhile. After an attempt that was broken off it waits a moment, and is then asked for again.
 func (n *Node) release(now float64, cmd ledger.Release) {
-	plan := letgo.Plan{By: now + n.plan.letGoBy, Any: n.plan.anyone}
+	plan := lease.Plan{By: now + n.plan.letGoBy, Any: n.plan.anyone}
 	n.releasing++
-	if at := letgo.Ready(now, cmd.CutAt); at > now {
+	if at := lease.Ready(now, cmd.CutAt); at > now {
 		n.core.wheel.Add(at, func(now float64) { n.releaseAgain(now, cmd, plan) })
 		return
 	}
@@ -159,7 +159,7 @@
 }
 
 // releaseAgain makes a call later than it was due, unless it would take what has come since.
-func (n *Node) releaseAgain(now float64, cmd ledger.Release, plan letgo.Plan) {
+func (n *Node) releaseAgain(now float64, cmd ledger.Release, plan lease.Plan) {
 	if !n.core.book.Wanted(cmd) {
 		n.releasing--
 		return
@@ -168,7 +168,7 @@
 }
 
 // releaseBy makes one call that releases, and closes done when it has ended.
-func (n *Node) releaseBy(now float64, cmd ledger.Release, plan letgo.Plan, done chan struct{}) {
+func (n *Node) releaseBy(now float64, cmd ledger.Release, plan lease.Plan, done chan struct{}) {
 	engine := cmd.Engine
 	if n.plan.anyone {
 		engine = n.releaser(cmd.Engine, plan.Tries)
@@ -178,9 +178,9 @@
 		err := n.caller.Release(address, cmd.ID, cmd.N, within)
 		close(done)
 		n.core.post(func(now float64) {
-			o, k := letgo.Answered, n.contacts[engine]
+			o, k := lease.Answered, n.contacts[engine]
 			if err != nil {
-				o, k.bad = letgo.Lost, now
+				o, k.bad = lease.Lost, now
 				if http1.NoFiles(err) {
 					n.short(n.server.Conns())
 				}
@@ -202,15 +202,15 @@
 
 // releaser is the engine that is asked to let go in the try given.
 func (n *Node) releaser(holder string, try int) string {
-	var all []letgo.Engine
+	var all []lease.Engine
 	for _, id := range sortedKeys(n.addresses) {
 		k := n.contacts[id]
-		all = append(all, letgo.Engine{ID: id, Listed: n.core.book.Listed(id), Holder: id == holder, Good: k.good, Bad: k.bad})
+		all = append(all, lease.Engine{ID: id, Listed: n.core.book.Listed(id), Holder: id == holder, Good: k.good, Bad: k.bad})
 	}
 	if len(all) == 0 {
 		return holder
 	}
-	return letgo.Order(all)[try%len(all)].ID
+	return lease.Order(all)[try%len(all)].ID
 }
 
 // answer gives the node's own final answer: a whole one, or the end of a stream that had begun.
