A node that shared discovery turned away asks again within the time in which a change counts as told

Cause: the longest wait was the settings' time to ask (10 s). Change: it is 0.65 of the 6 s until five calls in a row have failed, when the source must be overloaded, and only then the longer one. The test of waits fails with the longer one from the start. The simulated source of two nodes at which a call takes 4 s is listed within 40 s instead of 30; all others within 30 as before.

--- a/internal/decide/believe/ask.go
+++ b/internal/decide/believe/ask.go
@@ -5,14 +5,19 @@
 // seconds.
 type Asker struct {
 	Least, Most float64 // wait after a failure, at first and at last
+	Longest     float64 // the same once so many calls have failed in a row that the source must be overloaded; 0 = Most
 	PerS, Burst float64 // budget of calls
 	Draw        func() float64
 	wait        float64
 	tokens      float64
 	at          float64
 	begun       bool
+	failed      int // calls that have failed in a row
 }
 
+// overloaded is how many calls fail in a row at a source that is taken to be overloaded by those who ask it.
+const overloaded = 5
+
 // NewAsker returns one with our starting values. draw gives numbers from 0 up to 1, and is the only source of chance.
 func NewAsker(draw func() float64) *Asker {
 	return &Asker{Least: 0.25, Most: 20, PerS: 2, Burst: 4, Draw: draw}
@@ -33,11 +38,15 @@
 // jitter (Brooker, "Exponential Backoff and Jitter", 2015).
 func (a *Asker) After(now float64, good bool) float64 {
 	if good {
-		a.wait = 0
+		a.wait, a.failed = 0, 0
 		return a.spend(now)
 	}
+	most := a.Most
+	if a.failed++; a.failed >= overloaded {
+		most = max(most, a.Longest)
+	}
 	from := max(a.Least, a.wait)
-	a.wait = min(a.Most, a.Least+a.Draw()*(3*from-a.Least))
+	a.wait = min(most, a.Least+a.Draw()*(3*from-a.Least))
 	return a.spend(now + a.wait)
 }
 
--- a/internal/decide/believe/watch.go
+++ b/internal/decide/believe/watch.go
@@ -30,7 +30,7 @@
 
 // SharedPace is the pace for a source that all nodes ask, which can answer each of them only every few seconds and turns away
 // what would wait for longer than its time-out. Nodes that ask again at once keep it overloaded for ever: after a failure each
-// waits by chance, for up to the time in which a node is expected to ask (askEvery, s), and those that start with a list that
+// waits by chance, at last for up to the time in which a node is expected to ask (askEvery, s), and those that start with a list that
 // was known before spread their first calls over most of it. An answer may be queued for that time-out, so that a call which
 // waits for nothing is not silent before.
 func SharedPace(told, askEvery float64, draw func() float64) Pace {
@@ -39,7 +39,7 @@
 	w.Slow, w.Calls = max(w.First, askEvery/2), sharedCalls
 	asker := func() *Asker {
 		a := NewWatcher(draw)
-		a.Least, a.Most = sharedLeast, max(sharedMost, askEvery)
+		a.Least, a.Most, a.Longest = sharedLeast, sharedMost*told, max(sharedMost*told, askEvery)
 		return a
 	}
 	return Pace{Watching: w, Spread: sharedSpread * askEvery, Asker: asker}
@@ -51,9 +51,9 @@
 	sharedHold    = 1.0 / 3
 	sharedTimeout = 1.0 / 3
 	sharedCalls   = 2
-	sharedLeast   = 0.5 // s before the first further call
-	sharedMost    = 2.0 // s that the longest wait is at least
-	sharedSpread  = 0.8 // of the time in which a node is expected to ask
+	sharedLeast   = 0.5  // s before the first further call
+	sharedMost    = 0.65 // the longest wait at first: with a queued answer it fits into the time
+	sharedSpread  = 0.8  // of the time in which a node is expected to ask
 )
 
 // Shares of the time after which a change counts as told. Those of a silent watch and of two more calls that are silent or fail,
