--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -37,7 +37,7 @@
 		n.answer(cmd)
 	case ledger.Pass:
 		if c := n.calls[cmd.ID]; c != nil {
-			n.say(c, c.job.Judged(cmd.N))
+			n.respond(c, c.job.Judged(cmd.N))
 			n.metrics.answered("judged")
 		}
 	case ledger.Forget:
@@ -97,13 +97,13 @@
 // ended reports the end of an attempt to the owner.
 func (n *Node) ended(cmd ledger.Start, r protocol.Result) {
 	n.core.post(func(now float64) {
-		n.met(now, cmd.Engine, r.Facts)
+		n.noteContact(now, cmd.Engine, r.Facts)
 		c := n.calls[cmd.ID]
 		if c == nil {
 			return
 		}
 		if r.Err != nil && http1.NoFiles(r.Err) {
-			n.short(n.server.Conns())
+			n.noteShortage(n.server.Conns())
 		}
 		if n.log.Enabled(context.Background(), slog.LevelDebug) {
 			text := ""
@@ -126,8 +126,8 @@
 	})
 }
 
-// met files whether an engine answered.
-func (n *Node) met(now float64, engine string, f ending.Facts) {
+// noteContact files whether an engine answered.
+func (n *Node) noteContact(now float64, engine string, f ending.Facts) {
 	if !n.plan.anyone || n.addresses[engine] == "" {
 		return
 	}
@@ -182,7 +182,7 @@
 			if err != nil {
 				o, k.bad = lease.Lost, now
 				if http1.NoFiles(err) {
-					n.short(n.server.Conns())
+					n.noteShortage(n.server.Conns())
 				}
 				n.log.Debug("state not released", "request", cmd.ID, "engine", engine, "error", err.Error())
 			} else {
@@ -226,11 +226,11 @@
 	}
 	n.metrics.answered(kind)
 	n.log.Debug("answered by the node", "request", c.id, "status", a.HTTP, "code", a.Code, "retry", a.Retry, "after", cmd.RetryAfter)
-	n.say(c, c.job.Word(a, cmd.RetryAfter, cmd.Reason))
+	n.respond(c, c.job.Word(a, cmd.RetryAfter, cmd.Reason))
 }
 
-// say writes a last word on a goroutine of its own, for the client may be slow to take it.
-func (n *Node) say(c *call, w protocol.Word) {
+// respond writes a final response on a goroutine of its own, for the client may be slow to take it.
+func (n *Node) respond(c *call, w protocol.Word) {
 	c.answered = true
 	n.running.start(func() { c.job.Say(w) })
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,14 +110,14 @@
 	n.strain = newKeeping(p.strain, clk)
 	n.core = &core{clock: clk, beat: rhythm.Beat{Tick: p.tick}, router: router, book: ledger.New(p.book, p.brain.Kinds),
 		wheel: wheel.New[func(float64)](clk.now(), 0.001), wake: make(chan struct{}, 1), done: make(chan struct{}),
-		carry: n.carry, side: n.side, decide: n.metrics.decided, broken: n.breakDown, late: n.strain.late}
+		carry: n.carry, side: n.side, decide: n.metrics.decided, broken: n.moduleFailed, late: n.strain.late}
 	return n, nil
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// go_ runs a loop that Stop waits for.
-func (n *Node) go_(f func()) {
+// runLoop runs a loop that Stop waits for.
+func (n *Node) runLoop(f func()) {
 	n.loops.Add(1)
 	go func() { defer n.loops.Done(); f() }()
 }
@@ -126,7 +126,7 @@
 func (n *Node) serveOn(l net.Listener, handed bool) {
 	n.addr = l.Addr()
 	n.server = &http1.Server{Shared: handed, Limits: n.plan.limits, MaxConns: n.strain.connections, MaxBytes: n.plan.held, Lobby: n.plan.lobby,
-		Short: n.short, Times: n.plan.times,
+		Short: n.noteShortage, Times: n.plan.times,
 		Handler: http1.HandlerFunc(func(x *http1.Exchange) {
 			n.front.Serve(x, func(q protocol.Asked) bool {
 				return n.core.post(func(now float64) { n.take(now, x, q) })
@@ -139,12 +139,12 @@
 			}
 			return n.front.Fault(status, reason, after)
 		}}
-	n.go_(func() { n.server.Serve(l) })
+	n.runLoop(func() { n.server.Serve(l) })
 }
 
 // begin starts the owner and its sweeps.
 func (n *Node) begin() {
-	n.go_(n.core.run)
+	n.runLoop(n.core.run)
 	n.sweep()
 }
 
@@ -209,7 +209,7 @@
 func (n *Node) Shutdown(wait time.Duration) {
 	deadline := time.Now().Add(wait)
 	n.stopTaking(deadline)
-	n.settle(deadline)
+	n.awaitResponses(deadline)
 	n.core.post(func(now float64) { n.core.book.EndAll(now) })
 	n.finish()
 }
@@ -227,10 +227,10 @@
 	if n.plan.resume {
 		n.core.post(n.handOver) // what has begun meanwhile
 	}
-	n.settle(deadline)
+	n.awaitResponses(deadline)
 	if !n.plan.resume {
 		n.core.post(func(now float64) { n.core.book.EndHeld(now) })
-		n.settle(time.Now().Add(wait))
+		n.awaitResponses(time.Now().Add(wait))
 	}
 	n.core.post(func(now float64) { n.core.book.EndAll(now) })
 	n.finish()
@@ -257,8 +257,8 @@
 	n.core.post(func(now float64) { n.core.book.Close() })
 }
 
-// settle waits until no request is open, or the deadline.
-func (n *Node) settle(deadline time.Time) {
+// awaitResponses waits until no request is open, or the deadline.
+func (n *Node) awaitResponses(deadline time.Time) {
 	for time.Now().Before(deadline) && !n.hurry.Load() && n.Live() > 0 {
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -339,9 +339,9 @@
 	n.caller.Close()
 }
 
-// breakDown is called by the owner when the module has panicked: what is held gets its answer by the book's own
+// moduleFailed is called by the owner when the module has panicked: what is held gets its answer by the book's own
 // rules, and no more is taken.
-func (n *Node) breakDown(err error) {
+func (n *Node) moduleFailed(err error) {
 	n.log.Error("the routing module failed; the node stops", "error", err.Error())
 	n.core.book.Close()
 	n.core.book.EndAll(n.core.clock.now())
--- a/internal/node/openai.go
+++ b/internal/node/openai.go
@@ -101,7 +101,7 @@
 		n.aaddr = al.Addr()
 		n.admin = &http1.Server{Handler: http1.HandlerFunc(n.serveAdmin), Limits: http1.DefaultLimits,
 			Times: http1.DefaultTimes, MaxConns: func() int { return 100 }, MaxBytes: 1 << 20}
-		n.go_(func() { n.admin.Serve(al) })
+		n.runLoop(func() { n.admin.Serve(al) })
 	}
 	n.serveOn(l, handed)
 	return nil
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -101,7 +101,7 @@
 		t.Fatal(err)
 	}
 	n.caller, n.lists = s, s
-	n.go_(n.core.run)
+	n.runLoop(n.core.run)
 	defer func() { n.core.post(func(float64) { n.core.quit = true }); n.loops.Wait(); n.running.wait() }()
 	n.takeList(protocol.List{Form: brain.ListFull, Addresses: map[string]string{"r0": "x", "r1": "x", "w0": "x", "w1": "x", "w2": "x"},
 		Engines: []brain.Engine{{ID: "r0", Kind: 0, Weight: 1}, {ID: "r1", Kind: 0, Weight: 1}, {ID: "w0", Kind: 1, Weight: 1}, {ID: "w1", Kind: 1, Weight: 1}, {ID: "w2", Kind: 1, Weight: 1}}})
--- a/internal/node/strain.go
+++ b/internal/node/strain.go
@@ -55,8 +55,8 @@
 	return k.state.Take(now, q)
 }
 
-// short is told that no descriptor was left: idle connections make room, above all for calls that let go of states.
-func (n *Node) short(open int) {
+// noteShortage is told that no descriptor was left: idle connections make room, above all for calls that let go of states.
+func (n *Node) noteShortage(open int) {
 	n.strain.short(open)
 	n.caller.CloseIdle()
 	n.metrics.shortages.Inc()
