--- a/internal/decide/believe/ask.go
+++ b/internal/decide/believe/ask.go
@@ -12,11 +12,16 @@
 	tokens      float64
 	at          float64
 	begun       bool
-	turnedAway  int // calls that were, in a row
+	turnedAway  int  // calls that were, in a row
+	answered    bool // a call has been answered
 }
 
-// overloaded is how many calls in a row a source turns away that is taken to be overloaded by those who ask it.
-const overloaded = 2
+// overloaded is how many calls in a row a source turns away that is taken to be overloaded by those who ask it, before it has
+// answered one and since: who has had an answer comes back at another time than all others.
+const (
+	overloaded      = 2
+	overloadedSince = 4
+)
 
 // NewAsker returns one with our starting values. draw gives numbers from 0 up to 1, and is the only source of chance.
 func NewAsker(draw func() float64) *Asker {
@@ -38,7 +43,7 @@
 // jitter (Brooker, "Exponential Backoff and Jitter", 2015).
 func (a *Asker) After(now float64, good bool) float64 {
 	if good {
-		a.wait, a.turnedAway = 0, 0
+		a.wait, a.turnedAway, a.answered = 0, 0, true
 		return a.spend(now)
 	}
 	from := max(a.Least, a.wait)
@@ -49,7 +54,11 @@
 // TurnedAway returns when to call again after the source has answered that it cannot: as after any failure at first, and then so
 // late that the calls of all who were turned away do not keep it overloaded.
 func (a *Asker) TurnedAway(now float64) float64 {
-	if a.turnedAway++; a.turnedAway < overloaded || a.Longest <= 0 {
+	most := overloaded
+	if a.answered {
+		most = overloadedSince
+	}
+	if a.turnedAway++; a.turnedAway < most || a.Longest <= 0 {
 		return a.After(now, false)
 	}
 	a.wait = a.Longest * (1 + a.Draw()) / 2
--- a/internal/decide/believe/shared_test.go
+++ b/internal/decide/believe/shared_test.go
@@ -93,3 +93,20 @@
 		now = at
 	}
 }
+
+// A node that has had a list and is then turned away twice or thrice asks again within the time in which a change counts as told.
+func TestTurnedAwaySinceAnAnswer(t *testing.T) {
+	p := SharedPace(6, 10, func() float64 { return 0.999 })
+	a := p.Asker()
+	now := a.After(100, true)
+	for i := range overloadedSince - 1 {
+		at := a.TurnedAway(now)
+		if wait := at - now; wait+p.First >= 6 {
+			t.Errorf("turned away %d times %g s are waited", i+1, wait)
+		}
+		now = at
+	}
+	if at := a.TurnedAway(now); at-now < 5 {
+		t.Errorf("turned away without end %g s are waited, want a time that ends an overload", at-now)
+	}
+}
