The wait for ejected engines and the count of attempts stand in the policy file

Seen on reading the change again: brain.others and brain.uncount decide, and stood in state.go, which is to hold no decision; docs/design/brain.md did not name the two departures.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -510,6 +510,32 @@
 	return good
 }
 
+// left is how many attempts a request may still have.
+func (r *Router) left(q *request) int { return r.cfg.Limits.MaxAttempts - q.sent + q.unsent }
+
+// uncount takes off an attempt that was never written, where such do not count: as many as may be made.
+func (r *Router) uncount(ev Outcome) {
+	q := r.byID[ev.ID]
+	if r.cfg.Limits.UnsentFree && q != nil && q.out == ev.Attempt && q.unsent < r.cfg.Limits.MaxAttempts &&
+		(ev.Status == NoConnection || ev.Status == NotSent) {
+		q.unsent++
+	}
+}
+
+// others returns engines less the one that failed the request last, unless it is the only one. A request that
+// has met refused connections waits for an ejected engine, if its time allows: engines die together.
+func (r *Router) others(q *request, xs []*engine) []*engine {
+	if q.unsent > 0 {
+		xs = slices.DeleteFunc(xs, func(e *engine) bool {
+			return r.now < e.ejectedTill && e.ejectedTill < q.deadline-r.margin()
+		})
+	}
+	if len(xs) < 2 || q.failed == nil {
+		return xs
+	}
+	return slices.DeleteFunc(xs, func(e *engine) bool { return e == q.failed })
+}
+
 // spt is the time that one more token of ours takes at a reader: the slope of its kind's read times. With few
 // routers it holds others' reads too, which come and go with ours; with many those are in the wait.
 func (r *Router) spt(e *engine) float64 {
@@ -602,19 +628,7 @@
 	return max(0, r.wait(e)+load*r.spt(e)), tokens, load
 }
 
-// ahead is what we have given an engine to read already; backlog is how long a newcomer waits there.
-func ahead(e *engine) (load float64) {
-	for _, x := range e.reads {
-		load += x.tokens + overhead
-	}
-	for _, x := range e.jobs {
-		if unread(x) {
-			load += x.tokens + overhead
-		}
-	}
-	return load
-}
-
+// backlog is how long a newcomer waits at an engine.
 func (r *Router) backlog(e *engine) float64 { return max(0, r.wait(e)+ahead(e)*r.spt(e)) }
 
 // moveTime predicts the move of a state beyond what a writer's lag holds: only the link of the reader's
@@ -646,19 +660,6 @@
 	return math.Exp(-(r.now - e.reportAt) / reportFresh)
 }
 
-// sinceReport counts our streams and their tokens at a writer, all and those that its last report has not
-// seen.
-func (r *Router) sinceReport(e *engine) (streams, tokens, newStreams, newTokens float64) {
-	for _, x := range e.jobs {
-		t := x.PromptLen + r.answerTokens(x)
-		streams, tokens = streams+1, tokens+t
-		if x.stage != flowing || x.flowAt > e.reportAt-reportLag {
-			newStreams, newTokens = newStreams+1, newTokens+t
-		}
-	}
-	return
-}
-
 // streams estimates L, all routers' streams at a writer: as reported, and ours since; unreported, ours alone.
 func (r *Router) streams(e *engine) float64 {
 	own, _, fresh, _ := r.sinceReport(e)
--- a/brain/state.go
+++ b/brain/state.go
@@ -388,29 +388,30 @@
 	slices.SortFunc(r.list, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-// left is how many attempts a request may still have.
-func (r *Router) left(q *request) int { return r.cfg.Limits.MaxAttempts - q.sent + q.unsent }
-
-// uncount takes off an attempt that ended before its request was written, where such do not count: as many as may be made, at
-// the most, for engines that refuse connections would else be asked without end.
-func (r *Router) uncount(ev Outcome) {
-	q := r.byID[ev.ID]
-	if r.cfg.Limits.UnsentFree && q != nil && q.out == ev.Attempt && q.unsent < r.cfg.Limits.MaxAttempts &&
-		(ev.Status == NoConnection || ev.Status == NotSent) {
-		q.unsent++
+// sinceReport counts our streams and their tokens at a writer, all and those that its last report has not
+// seen.
+func (r *Router) sinceReport(e *engine) (streams, tokens, newStreams, newTokens float64) {
+	for _, x := range e.jobs {
+		t := x.PromptLen + r.answerTokens(x)
+		streams, tokens = streams+1, tokens+t
+		if x.stage != flowing || x.flowAt > e.reportAt-reportLag {
+			newStreams, newTokens = newStreams+1, newTokens+t
+		}
 	}
+	return
 }
 
-// others returns engines less the one that failed the request last, unless it is the only one. A request that has met refused
-// connections waits for an ejected engine, if its time allows: engines that died together refuse within milliseconds.
-func (r *Router) others(q *request, xs []*engine) []*engine {
-	if q.unsent > 0 {
-		xs = slices.DeleteFunc(xs, func(e *engine) bool { return r.now < e.ejectedTill && e.ejectedTill < q.deadline-r.margin() })
+// ahead is what we have given an engine to read already.
+func ahead(e *engine) (load float64) {
+	for _, x := range e.reads {
+		load += x.tokens + overhead
 	}
-	if len(xs) < 2 || q.failed == nil {
-		return xs
+	for _, x := range e.jobs {
+		if unread(x) {
+			load += x.tokens + overhead
+		}
 	}
-	return slices.DeleteFunc(xs, func(e *engine) bool { return e == q.failed })
+	return load
 }
 
 // heldFrom is since when a state counts as held, after an attempt to take it has ended: while connections fail to come up, the
