--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -35,6 +35,8 @@
 	// to the end of its head; 0 = no bound but the connection's.
 	Chunk int64
 	Head  time.Duration
+	// Connect makes connections; nil = a net.Dialer does.
+	Connect DialFunc
 
 	mu     sync.Mutex
 	idle   map[string][]*ClientConn
@@ -42,6 +44,9 @@
 	closed bool
 }
 
+// DialFunc makes a connection, as net.Dialer.DialContext does; ctx bounds its time.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // ErrNoRoom tells that the pool has as many connections open as it may.
 var ErrNoRoom = errors.New("http1: no room for another connection")
 
@@ -91,8 +96,16 @@
 	if !p.enter() {
 		return nil, ErrNoRoom
 	}
-	dialer := net.Dialer{Timeout: timeout}
-	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	connect := p.Connect
+	if connect == nil {
+		connect = (&net.Dialer{}).DialContext
+	}
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	nc, err := connect(ctx, "tcp", addr)
 	if err != nil {
 		p.leave()
 		return nil, err
@@ -220,6 +233,9 @@
 // alive looks, without waiting, for a close or for bytes that nobody asked for. Without it a request would be
 // written to a connection that the server has closed, and nobody could tell whether it ran.
 func (c *ClientConn) alive() bool {
+	if teller, ok := c.nc.(interface{ Unread() bool }); ok {
+		return !teller.Unread()
+	}
 	sc, ok := c.nc.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/http1/hangup.go
+++ b/internal/http1/hangup.go
@@ -142,6 +142,9 @@
 // hasLeft tells whether the peer has closed the connection, or at least its sending side (half), whatever is still unread. A
 // connection that cannot say so has not.
 func hasLeft(nc net.Conn) (left, half bool) {
+	if teller, ok := nc.(interface{ Gone() (left, half bool) }); ok {
+		return teller.Gone()
+	}
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return false, false
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,7 @@
 	seed     uint64
 	listener net.Listener
 	admin    net.Listener
+	connect  http1.DialFunc
 }
 
 // WithLogger sets where the node logs.
@@ -90,6 +91,9 @@
 // WithAdminListener serves the admin paths on a listener that is open already.
 func WithAdminListener(l net.Listener) Option { return func(o *options) { o.admin = l } }
 
+// WithDialer makes the connections to engines and discovery of a RelayNode; by default they are made on the network.
+func WithDialer(connect http1.DialFunc) Option { return func(o *options) { o.connect = connect } }
+
 func choose(opts []Option) options {
 	o := options{log: slog.Default(), seed: rand.Uint64()}
 	for _, f := range opts {
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	engines := relay.NewEngines(cfg.Settings, cfg.Limits.Parts().Engines)
+	engines := relay.NewEngines(cfg.Settings, cfg.Limits.Parts().Engines, o.connect)
 	n.front, n.caller = relay.NewFront(cfg.Settings, engines, n.Ready, o.log), engines
 	l := o.listener
 	if l == nil {
@@ -35,7 +35,7 @@
 	}
 	n.serveOn(l, false)
 	r := &RelayNode{Node: n}
-	r.discovery = relay.Follow(cfg.Discovery, cfg.Known, cfg.Settings, func(l protocol.List) { n.takeList(l) }, o.log)
+	r.discovery = relay.Follow(cfg.Discovery, cfg.Known, cfg.Settings, o.connect, func(l protocol.List) { n.takeList(l) }, o.log)
 	n.lists = r.discovery
 	n.begin()
 	return r, nil
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -60,10 +60,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", envConfig, err)
 	}
-	return parse(text, getenv)
+	return Parse(text, getenv)
 }
 
-func parse(text []byte, getenv func(string) string) (*Config, error) {
+// Parse reads the text of a configuration file. What it lacks is taken from the environment.
+func Parse(text []byte, getenv func(string) string) (*Config, error) {
 	var f file
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -54,6 +54,8 @@
 	take  func(protocol.List)
 	wg    sync.WaitGroup
 
+	connect http1.DialFunc
+
 	mu     sync.Mutex
 	told   *believe.Told
 	known  bool // a list was known at the start
@@ -93,8 +95,9 @@
 }
 
 // Follow starts following discovery at an address, from what was known before (may be empty).
-func Follow(addr string, known []byte, s *settings.Settings, take func(protocol.List), log *slog.Logger) *Discovery {
-	return follow(addr, known, s, paceOf(s), take, log)
+// connect makes connections (nil = on the network).
+func Follow(addr string, known []byte, s *settings.Settings, connect http1.DialFunc, take func(protocol.List), log *slog.Logger) *Discovery {
+	return follow(addr, known, s, paceOf(s), connect, take, log)
 }
 
 // paceOf is the pace at which the discovery of the settings is followed.
@@ -105,9 +108,9 @@
 	return believe.AgentPace(toldAfter, rand.Float64)
 }
 
-func follow(addr string, known []byte, s *settings.Settings, times believe.Pace, take func(protocol.List), log *slog.Logger) *Discovery {
+func follow(addr string, known []byte, s *settings.Settings, times believe.Pace, connect http1.DialFunc, take func(protocol.List), log *slog.Logger) *Discovery {
 	d := &Discovery{log: log, times: times, kinds: index(s.Kinds), zones: index(s.Zones), roles: s.Brain.Kinds, take: take,
-		told: newTold()}
+		told: newTold(), connect: connect}
 	var a answer
 	if len(known) > 0 {
 		if err := json.Unmarshal(known, &a); err != nil {
@@ -189,7 +192,7 @@
 // connection, and those before it are waited for all the same: while discovery is down it says nothing, and what it has at
 // its return it says first to who is waiting. So a node is never without a call that is out.
 func (d *Discovery) follow(w, before *watch) {
-	pool := &http1.Pool{Limits: http1.Limits{Line: 1 << 10, Header: 8 << 10, Headers: 64, Body: maxList}}
+	pool := &http1.Pool{Limits: http1.Limits{Line: 1 << 10, Header: 8 << 10, Headers: 64, Body: maxList}, Connect: d.connect}
 	var calls sync.WaitGroup
 	defer func() {
 		w.end()
--- a/internal/relay/engines.go
+++ b/internal/relay/engines.go
@@ -26,10 +26,11 @@
 	start time.Time // of its clock
 }
 
-// NewEngines returns a client of engines that holds at most so many connections.
-func NewEngines(s *settings.Settings, most int) *Engines {
+// NewEngines returns a client of engines that holds at most so many connections, made by connect (nil = on the network).
+func NewEngines(s *settings.Settings, most int, connect http1.DialFunc) *Engines {
 	e := &Engines{connect: 250 * time.Millisecond, reuse: reuse.New(s.Idle), start: time.Now(),
-		pool: &http1.Pool{MaxIdle: 16, MaxOpen: most, Idle: 10 * time.Second, Settle: settle, Limits: answerLimits, Chunk: maxChunk}}
+		pool: &http1.Pool{MaxIdle: 16, MaxOpen: most, Idle: 10 * time.Second, Settle: settle, Limits: answerLimits, Chunk: maxChunk,
+			Connect: connect}}
 	if s.Connect > 0 {
 		e.connect = seconds(s.Connect)
 	}
