--- a/brain/brain.go
+++ b/brain/brain.go
@@ -919,23 +919,19 @@
 	if low || r.blind() {
 		return math.Inf(1)
 	}
-	aim, alone := q.aim-q.arrived-r.leastLag, r.alone(q.PromptLen-r.keptAt(q, e), e)
+	aim, alone := q.aim-q.arrived-r.leastLag, (max(32, q.PromptLen-r.keptAt(q, e))+overhead)*r.spt(e)
 	return q.aim - r.now - max(1, min(readSlack, aimMost*aim/alone))*t
 }
 
-// alone is the time of a read of so many tokens at an engine that does nothing else.
-func (r *Router) alone(tokens float64, e *engine) float64 {
-	return (max(32, tokens) + overhead) * r.spt(e)
-}
-
 // spare tells whether e can read, in t, what comes too late anyway and make nobody else late: a newcomer of
 // any class right behind it would still start in time, by what all reads have lately shown and four times its
 // mean error. Where many routers have a request or two each, our empty high tier tells nothing of theirs.
 func (r *Router) spare(e *engine, t float64) bool {
 	t += spreadOver * r.spread[e.role].get(r.now, 0, 0)
 	for i, c := range r.cfg.Classes {
-		aim, alone := c.Aim+c.AimPerK*r.classes[i].prompt.v/1000, r.alone(r.classes[i].prompt.v, e)
-		if aim > readSlack*alone && readSlack*(t+alone) > aim { // a shorter aim needs an idle engine anyway
+		p := r.classes[i].prompt.v
+		aim := c.Aim + c.AimPerK*p/1000 // one too short for any reader is kept by nobody's waiting
+		if aim > readSlack*(p+overhead)*firstSpt && readSlack*(t+(p+overhead)*r.spt(e)) > aim {
 			return false
 		}
 	}
