--- a/brain/brain.go
+++ b/brain/brain.go
@@ -920,7 +920,11 @@
 		return math.Inf(1)
 	}
 	aim, alone := q.aim-q.arrived-r.leastLag, (max(32, q.PromptLen-r.keptAt(q, e))+overhead)*r.spt(e)
-	return q.aim - r.now - max(1, min(readSlack, aimMost*aim/alone))*t
+	slack := 1.0 * readSlack
+	if aimMost*t <= alone { // nobody is ahead
+		slack = max(1, min(readSlack, aimMost*aim/alone))
+	}
+	return q.aim - r.now - slack*t
 }
 
 // spare tells whether e can read, in t, what comes too late anyway and make nobody else late: a newcomer of
--- a/internal/decide/believe/watch.go
+++ b/internal/decide/believe/watch.go
@@ -55,7 +55,7 @@
 	sharedCalls   = 2
 	sharedLeast   = 0.5  // s before the first further call
 	sharedMost    = 0.65 // the longest wait at first, before the first call too: with a queued answer it fits into the time
-	sharedSpacing = 0.5  // the longest pause after an answer: with a queued answer and a call more it fits into the time
+	sharedSpacing = 0.4  // the longest pause after an answer: with a queued answer and a call more it fits into the time
 	sharedLate    = 1.0 / 12
 	sharedSpread  = 0.8 // of the time in which a node is expected to ask
 )
