--- a/brain/brain.go
+++ b/brain/brain.go
@@ -181,7 +181,7 @@
 		return
 	}
 	e := q.writer
-	r.heard()
+	r.heard(q.stage)
 	r.borne[e.role].add(r.now, r.weight(q, e.role), rateWindow)
 	q.overtake(e.jobs, writing)
 	own := !q.hasHold // it read the prompt itself
@@ -208,9 +208,7 @@
 		return
 	}
 	was, e := q.stage, q.at()
-	if was != flowing {
-		r.heard()
-	}
+	r.heard(was)
 	if was == writing && !q.hasHold && ev.Status != Served {
 		r.do(Release{q.ID}) // what a mixed engine has read by itself stays held as well
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -501,8 +501,12 @@
 	k.c = c
 }
 
-// heard notes that an attempt has begun to stream or has ended.
-func (r *Router) heard() { r.out, r.heardAt = r.out-1, r.now }
+// heard notes that an attempt has begun to stream or, before that, has ended.
+func (r *Router) heard(was stage) {
+	if was != flowing {
+		r.out, r.heardAt = r.out-1, r.now
+	}
+}
 
 // reported files an engine's load report, and pools it: a router that hears of each engine only now and then
 // still knows what its kind bears.
