Endpoint discovery and overload control have the field's names

Cause: believe and strain were words of our own. Change: internal/decide/believe is endpoints, internal/decide/strain is overload; imports and pages follow.

--- a/internal/decide/believe/ask.go
+++ b/internal/decide/endpoints/ask.go
@@ -1,4 +1,4 @@
-package believe
+package endpoints
 
 // Asker decides when a node asks the source of the list again. Hundreds of nodes ask the same source: after a failure
 // each waits longer and by chance, and none asks more often than its budget, whatever the source answers. Times are in
--- a/internal/decide/believe/told_test.go
+++ b/internal/decide/endpoints/told_test.go
@@ -1,4 +1,4 @@
-package believe
+package endpoints
 
 import (
 	"fmt"
--- a/internal/decide/believe/believe.go
+++ b/internal/decide/endpoints/view.go
@@ -1,4 +1,4 @@
-// Package believe decides which engine list a node believes, and when it asks for the next. Lists come late, twice,
+// Package endpoints decides which engine list a node believes, and when it asks for the next. Lists come late, twice,
 // out of order, from servers that forgot, and now and then with most of the fleet missing. It does no I/O and reads no
 // clock; times are in seconds.
 //
@@ -6,7 +6,7 @@
 // has to be confirmed: that a large part of a role has gone in one step, and that an engine which keeps coming and
 // going is there to stay. Both errors are bounded: a node that waits sends for at most Confirm seconds to engines that
 // have gone, which fail at once; a node that does not wait refuses everything on the word of one broken answer.
-package believe
+package endpoints
 
 import (
 	"cmp"
--- a/internal/decide/believe/watch.go
+++ b/internal/decide/endpoints/watch.go
@@ -1,4 +1,4 @@
-package believe
+package endpoints
 
 // Watching says how long each step of following a list may take. Whatever a call came to, a change counts as told a fixed
 // time after its source had it and could be reached; from then on a node that still sends to an engine which drains breaks
--- a/internal/decide/strain/strain.go
+++ b/internal/decide/overload/overload.go
@@ -1,11 +1,11 @@
-// Package strain decides what a node still takes by how its own machine keeps up. A rule may not break because a machine
+// Package overload decides what a node still takes by how its own machine keeps up. A rule may not break because a machine
 // is slow or its file table full: a node that cannot keep up refuses early, while the refusal can still be written.
 //
 // Three things tell. Lag is how late the node hears of what happens: facts that waited for the owner, timers that rang
 // late. Files are the descriptors that the process may hold, and calls that found none. Bytes are what requests hold.
 //
 // It does no I/O, reads no clock and draws no chance; times are in seconds.
-package strain
+package overload
 
 // Limits are what the machine allows.
 type Limits struct {
--- a/internal/decide/strain/strain_test.go
+++ b/internal/decide/overload/overload_test.go
@@ -1,4 +1,4 @@
-package strain
+package overload
 
 import (
 	"testing"
--- a/internal/decide/strain/parts.go
+++ b/internal/decide/overload/parts.go
@@ -1,4 +1,4 @@
-package strain
+package overload
 
 // Parts are the shares of a node's limits that go to each of its concerns.
 type Parts struct {
--- a/internal/members/consul.go
+++ b/internal/members/consul.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"dillroute/internal/config"
-	"dillroute/internal/decide/believe"
+	"dillroute/internal/decide/endpoints"
 	"dillroute/internal/http1"
 )
 
@@ -21,7 +21,7 @@
 	service string
 	wait    time.Duration // for which the server may hold a call
 	parser  *Parser
-	asker   *believe.Asker
+	asker   *endpoints.Asker
 
 	mu   sync.Mutex
 	conn *http1.ClientConn
@@ -114,7 +114,7 @@
 	if err != nil {
 		return answer{err: fmt.Errorf("list server:\n%w", err)}, 0
 	}
-	return answer{list: believe.Answer{Index: next, Entries: entries}}, next
+	return answer{list: endpoints.Answer{Index: next, Entries: entries}}, next
 }
 
 // instance is one entry of Consul's health endpoint, as far as it is read.
@@ -134,13 +134,13 @@
 
 // Consul reads an answer of the health endpoint. Kind, cell, zone, state and start time are in Service.Meta under the
 // names of the list file; an instance with a critical check gets no new work.
-func (p *Parser) Consul(text []byte) ([]believe.Entry, error) {
+func (p *Parser) Consul(text []byte) ([]endpoints.Entry, error) {
 	var instances []instance
 	if err := json.Unmarshal(text, &instances); err != nil {
 		return nil, config.Problems{{Pointer: "", Text: "not a list of instances: " + err.Error()}}
 	}
 	var ps config.Problems
-	out := []believe.Entry{}
+	out := []endpoints.Entry{}
 	for i, x := range instances {
 		e, err := x.entry()
 		if err != nil {
--- a/internal/members/file.go
+++ b/internal/members/file.go
@@ -8,7 +8,7 @@
 	"path/filepath"
 	"time"
 
-	"dillroute/internal/decide/believe"
+	"dillroute/internal/decide/endpoints"
 
 	"github.com/fsnotify/fsnotify"
 )
@@ -63,7 +63,7 @@
 }
 
 // read returns the list, and whether it differs from the last one read.
-func (w *file) read() (list believe.Answer, changed bool, err error) {
+func (w *file) read() (list endpoints.Answer, changed bool, err error) {
 	info, err := os.Stat(w.path)
 	if err != nil {
 		return list, false, err
@@ -86,7 +86,7 @@
 		return list, false, fmt.Errorf("%s:\n%w", w.path, err)
 	}
 	w.last, w.seen = text, info
-	return believe.Answer{Entries: entries}, true, nil
+	return endpoints.Answer{Entries: entries}, true, nil
 }
 
 // Replace writes a file in one step, so that no reader sees half of it.
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -6,7 +6,7 @@
 
 	"dillroute/api"
 	"dillroute/internal/config"
-	"dillroute/internal/decide/believe"
+	"dillroute/internal/decide/endpoints"
 )
 
 // Entry is one engine of a list file; api/list.schema.json describes it.
@@ -35,13 +35,13 @@
 }
 
 // Parse reads a whole list file. All that is wrong is told at once, and then nothing of it is taken.
-func (p *Parser) Parse(text []byte) ([]believe.Entry, error) {
+func (p *Parser) Parse(text []byte) ([]endpoints.Entry, error) {
 	var f File
 	if err := schema.Decode(text, &f); err != nil {
 		return nil, err
 	}
 	var ps config.Problems
-	out := []believe.Entry{}
+	out := []endpoints.Entry{}
 	for i, e := range f.Engines {
 		n, bad := p.entry(e)
 		for _, b := range bad {
@@ -59,7 +59,7 @@
 }
 
 // entry reads one engine; its cell is numbered by the caller, once the list is known to be good.
-func (p *Parser) entry(e Entry) (believe.Entry, config.Problems) {
+func (p *Parser) entry(e Entry) (endpoints.Entry, config.Problems) {
 	var ps config.Problems
 	kind, ok := p.Config.KindIndex(e.Kind)
 	if !ok {
@@ -69,7 +69,7 @@
 	if !ok {
 		ps = append(ps, config.Problem{Pointer: "/zone", Text: fmt.Sprintf("%q is not one of the node's zones", e.Zone)})
 	}
-	n := believe.Entry{ID: e.ID, Address: e.Address, Kind: kind, Zone: zone, Weight: 1, Boot: e.BootTime}
+	n := endpoints.Entry{ID: e.ID, Address: e.Address, Kind: kind, Zone: zone, Weight: 1, Boot: e.BootTime}
 	if len(ps) == 0 {
 		n.Role = int(p.Config.Brain().Kinds[kind].Role)
 	}
@@ -77,7 +77,7 @@
 		n.Weight = *e.Weight
 	}
 	if e.State == "draining" {
-		n.State = believe.Draining
+		n.State = endpoints.Draining
 	}
 	return n, ps
 }
--- a/internal/members/list_test.go
+++ b/internal/members/list_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"dillroute/internal/config"
-	"dillroute/internal/decide/believe"
+	"dillroute/internal/decide/endpoints"
 )
 
 func parser(t *testing.T) *Parser {
@@ -31,7 +31,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := []believe.Entry{{ID: "b", Address: "127.0.0.1:2", Kind: 1, Role: 1, Zone: 1, State: believe.Draining},
+	want := []endpoints.Entry{{ID: "b", Address: "127.0.0.1:2", Kind: 1, Role: 1, Zone: 1, State: endpoints.Draining},
 		{ID: "a", Address: "127.0.0.1:1", Cell: 1, Weight: 1, Boot: 7}}
 	if len(l) != 2 || l[0] != want[0] || l[1] != want[1] {
 		t.Fatalf("%+v", l)
--- a/internal/members/source.go
+++ b/internal/members/source.go
@@ -11,13 +11,13 @@
 
 	"dillroute/brain"
 	"dillroute/internal/config"
-	"dillroute/internal/decide/believe"
+	"dillroute/internal/decide/endpoints"
 	"dillroute/internal/protocol"
 )
 
 // answer is what a source gave, or why it gave nothing.
 type answer struct {
-	list  believe.Answer
+	list  endpoints.Answer
 	again bool // the source's index fell: it began anew
 	err   error
 }
@@ -31,7 +31,7 @@
 // Follower follows a source and tells of each change of what is believed. Its believer belongs to its goroutine.
 type Follower struct {
 	cfg      *config.Config
-	believer *believe.Believer
+	believer *endpoints.Believer
 	src      source
 	parser   *Parser
 	saved    string // file in which the believed list is kept; "" = none
@@ -55,7 +55,7 @@
 // Follow starts following. Where nothing was saved, a list file that cannot be read is an error; a list server that
 // does not answer is waited for.
 func Follow(o FollowOptions) (*Follower, error) {
-	f := &Follower{cfg: o.Config, believer: believe.New(believe.Defaults), saved: o.Saved, take: o.Take, complain: o.Complain,
+	f := &Follower{cfg: o.Config, believer: endpoints.New(endpoints.Defaults), saved: o.Saved, take: o.Take, complain: o.Complain,
 		stop: make(chan struct{}), done: make(chan struct{})}
 	f.keeps.Store(true)
 	if o.Draw == nil {
@@ -66,7 +66,7 @@
 	f.restore(parser)
 	e := o.Config.Engines
 	if e.Consul != "" {
-		f.src = &consul{address: e.Consul, service: e.Service, wait: seconds(e.Wait), parser: parser, asker: believe.NewAsker(o.Draw)}
+		f.src = &consul{address: e.Consul, service: e.Service, wait: seconds(e.Wait), parser: parser, asker: endpoints.NewAsker(o.Draw)}
 	} else {
 		w := &file{path: e.File, poll: seconds(e.Poll), parser: parser}
 		list, _, err := w.read()
@@ -148,7 +148,7 @@
 	l := protocol.List{Form: brain.ListFull, Addresses: map[string]string{}, Saved: b.Saved}
 	for _, e := range b.Entries {
 		n := brain.Engine{ID: e.ID, Kind: e.Kind, Cell: e.Cell, Zone: e.Zone, Weight: e.Weight, BootTime: e.Boot}
-		if e.State == believe.Draining {
+		if e.State == endpoints.Draining {
 			n.State = brain.Draining
 		}
 		l.Engines = append(l.Engines, n)
@@ -171,7 +171,7 @@
 	if errors.Is(err, os.ErrNotExist) {
 		return
 	}
-	var entries []believe.Entry
+	var entries []endpoints.Entry
 	if err == nil {
 		entries, err = parser.Parse(text)
 	}
@@ -185,7 +185,7 @@
 }
 
 // save writes the belief as a list file.
-func (f *Follower) save(b believe.Belief) error {
+func (f *Follower) save(b endpoints.Belief) error {
 	out := File{Engines: []Entry{}}
 	for _, e := range b.Entries {
 		weight := e.Weight
@@ -193,7 +193,7 @@
 		if e.Zone < len(f.cfg.Zones) {
 			n.Zone = f.cfg.Zones[e.Zone]
 		}
-		if e.State == believe.Draining {
+		if e.State == endpoints.Draining {
 			n.State = "draining"
 		}
 		out.Engines = append(out.Engines, n)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,8 +15,8 @@
 	"dillroute/internal/decide/ending"
 	"dillroute/internal/decide/handover"
 	"dillroute/internal/decide/ledger"
+	"dillroute/internal/decide/overload"
 	"dillroute/internal/decide/rhythm"
-	"dillroute/internal/decide/strain"
 	"dillroute/internal/http1"
 	"dillroute/internal/protocol"
 	"dillroute/internal/wheel"
@@ -59,7 +59,7 @@
 	book    ledger.Config
 	tick    float64
 	letGoBy float64 // within which a state must be let go of
-	strain  strain.Limits
+	strain  overload.Limits
 	times   http1.Times
 	limits  http1.Limits
 	lobby   int   // connections that are refused at a time; 0 = as the server has it
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"dillroute/internal/decide/ledger"
-	"dillroute/internal/decide/strain"
+	"dillroute/internal/decide/overload"
 	"dillroute/internal/protocol"
 	"dillroute/internal/relay"
 )
@@ -52,7 +52,7 @@
 	return plan{brain: decisions, tick: s.Brain.Tick, letGoBy: rules.LetGoBy, held: parts.Bytes, anyone: true, resume: s.Resume,
 		book: ledger.Config{Classes: s.Brain.Classes, MaxOpen: parts.Clients, MaxAttempts: s.Brain.Limits.MaxAttempts, UnsentFree: true,
 			Slack: rules.AnswerSlack + relay.Slack.Seconds()/2, DrainGrace: rules.DrainGrace, ReleaseAll: true},
-		strain: strain.Limits{Files: cfg.Limits.Sockets, Connections: parts.Clients, Bytes: parts.Bytes,
+		strain: overload.Limits{Files: cfg.Limits.Sockets, Connections: parts.Clients, Bytes: parts.Bytes,
 			Slack: rules.AnswerSlack + relay.Slack.Seconds()/2},
 		times: relay.ServerTimes(s.Resume), limits: relay.RequestLimits, lobby: parts.Lobby}
 }
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -10,7 +10,7 @@
 	"dillroute/brain"
 	"dillroute/internal/decide/ending"
 	"dillroute/internal/decide/ledger"
-	"dillroute/internal/decide/strain"
+	"dillroute/internal/decide/overload"
 	"dillroute/internal/protocol"
 )
 
@@ -94,7 +94,7 @@
 		Limits: brain.Limits{MaxAttempts: 6, Cancel: true},
 		Rules:  brain.Rules{ColdShare: 0.25, ColdFor: 1, FallMultiple: 4, TipAfter: 1, LetGoBy: letGoBy, AskEvery: 10, DrainGrace: 0.25}}
 	s.said = make(chan struct{})
-	n, err := newNode(plan{brain: cfg, tick: cfg.Tick, letGoBy: letGoBy, anyone: true, strain: strain.Limits{Connections: 10},
+	n, err := newNode(plan{brain: cfg, tick: cfg.Tick, letGoBy: letGoBy, anyone: true, strain: overload.Limits{Connections: 10},
 		book: ledger.Config{Classes: classes, MaxOpen: 8, MaxAttempts: 6, Slack: 0.05, DrainGrace: 0.25, ReleaseAll: true}},
 		options{log: slog.New(slog.NewTextHandler(io.Discard, nil)), seed: 1})
 	if err != nil {
--- a/internal/node/strain.go
+++ b/internal/node/strain.go
@@ -4,19 +4,19 @@
 	"math/rand/v2"
 	"sync"
 
-	"dillroute/internal/decide/strain"
+	"dillroute/internal/decide/overload"
 )
 
-// keeping is how the node keeps up, as internal/decide/strain judges it. The owner, the accepting goroutine and those
+// keeping is how the node keeps up, as internal/decide/overload judges it. The owner, the accepting goroutine and those
 // of attempts tell it; a lock is enough, for each is told a few numbers.
 type keeping struct {
 	mu    sync.Mutex
 	clock clock
-	state *strain.State
+	state *overload.State
 }
 
-func newKeeping(lim strain.Limits, c clock) *keeping {
-	return &keeping{clock: c, state: strain.New(lim)}
+func newKeeping(lim overload.Limits, c clock) *keeping {
+	return &keeping{clock: c, state: overload.New(lim)}
 }
 
 // late files how late something was heard of.
@@ -48,7 +48,7 @@
 }
 
 // take decides on a request.
-func (k *keeping) take(now float64, q strain.Request) strain.Verdict {
+func (k *keeping) take(now float64, q overload.Request) overload.Verdict {
 	q.Draw = rand.Float64()
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/node/take.go
+++ b/internal/node/take.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"dillroute/internal/decide/ending"
-	"dillroute/internal/decide/strain"
+	"dillroute/internal/decide/overload"
 	"dillroute/internal/http1"
 	"dillroute/internal/protocol"
 )
@@ -18,7 +18,7 @@
 		q.TimeLeft = max(0, min(q.TimeLeft, n.endBy-now+time.Since(x.Arrived).Seconds()))
 	}
 	patience := q.TimeLeft
-	v := n.strain.take(now, strain.Request{Patience: patience, Spent: time.Since(x.Arrived).Seconds(), Held: n.server.Held()})
+	v := n.strain.take(now, overload.Request{Patience: patience, Spent: time.Since(x.Arrived).Seconds(), Held: n.server.Held()})
 	if !v.OK {
 		n.metrics.strained.WithLabelValues(v.Why).Inc()
 		n.metrics.answered("turned_away")
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -8,7 +8,7 @@
 	"os"
 	"strconv"
 
-	"dillroute/internal/decide/strain"
+	"dillroute/internal/decide/overload"
 	"dillroute/internal/settings"
 )
 
@@ -29,7 +29,7 @@
 }
 
 // Parts divides the limits.
-func (l Limits) Parts() strain.Parts { return strain.Divide(l.Sockets, int64(l.MemoryMB*(1<<20))) }
+func (l Limits) Parts() overload.Parts { return overload.Divide(l.Sockets, int64(l.MemoryMB*(1<<20))) }
 
 // file mirrors the configuration file.
 type file struct {
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"dillroute/brain"
-	"dillroute/internal/decide/believe"
+	"dillroute/internal/decide/endpoints"
 	"dillroute/internal/http1"
 	"dillroute/internal/protocol"
 	"dillroute/internal/settings"
@@ -47,7 +47,7 @@
 // Discovery follows the list of engines.
 type Discovery struct {
 	log   *slog.Logger
-	times believe.Pace
+	times endpoints.Pace
 	kinds map[string]int
 	zones map[string]int
 	roles []brain.Kind
@@ -57,7 +57,7 @@
 	connect http1.DialFunc
 
 	mu     sync.Mutex
-	told   *believe.Told
+	told   *endpoints.Told
 	known  bool // a list was known at the start
 	watch  *watch
 	closed bool
@@ -102,14 +102,14 @@
 }
 
 // paceOf is the pace at which the discovery of the settings is followed.
-func paceOf(s *settings.Settings) believe.Pace {
+func paceOf(s *settings.Settings) endpoints.Pace {
 	if s.Brain.OnRequest {
-		return believe.SharedPace(toldAfter, s.Brain.Rules.AskEvery, rand.Float64)
+		return endpoints.SharedPace(toldAfter, s.Brain.Rules.AskEvery, rand.Float64)
 	}
-	return believe.AgentPace(toldAfter, rand.Float64)
+	return endpoints.AgentPace(toldAfter, rand.Float64)
 }
 
-func follow(addr string, known []byte, s *settings.Settings, times believe.Pace, connect http1.DialFunc, take func(protocol.List), log *slog.Logger) *Discovery {
+func follow(addr string, known []byte, s *settings.Settings, times endpoints.Pace, connect http1.DialFunc, take func(protocol.List), log *slog.Logger) *Discovery {
 	d := &Discovery{log: log, times: times, kinds: index(s.Kinds), zones: index(s.Zones), roles: s.Brain.Kinds, take: take,
 		told: newTold(), connect: connect}
 	var a answer
@@ -126,7 +126,7 @@
 }
 
 // newTold returns the list of which every word counts.
-func newTold() *believe.Told { return believe.NewTold() }
+func newTold() *endpoints.Told { return endpoints.NewTold() }
 
 // Keep is of no use here: no disk survives the node.
 func (d *Discovery) Keep(bool) {}
@@ -251,7 +251,7 @@
 }
 
 // again is when to call again after a call that led to an error.
-func again(asker *believe.Asker, err error) float64 {
+func again(asker *endpoints.Asker, err error) float64 {
 	if errors.Is(err, errTurnedAway) {
 		return asker.TurnedAway(unix())
 	}
@@ -270,7 +270,7 @@
 
 // begin notes a call and returns when it counts as silent (Unix s). On a connection that has just answered it waits for news;
 // the first one on a new connection waits for nothing. Changes are asked for where they are enough: they are less to send.
-func (w *watch) begin(line *http1.ClientConn, times believe.Watching, silent int) (*call, float64) {
+func (w *watch) begin(line *http1.ClientConn, times endpoints.Watching, silent int) (*call, float64) {
 	c, late := &call{on: line, target: pathList, due: unix()}, times.Patience(unix(), silent)
 	if w.going {
 		hold := 1e-3
@@ -395,20 +395,20 @@
 func (d *Discovery) hear(a *answer, known bool) (version int64, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var words []believe.Word
+	var words []endpoints.Word
 	for _, e := range a.Servers {
 		kind, ok := d.kinds[e.Kind]
 		if !ok && e.State != "removed" {
 			d.log.Warn("engine of an unknown kind", "engine", e.ID, "kind", clip(e.Kind))
 			continue
 		}
-		w := believe.Word{Gone: e.State == "removed", Entry: believe.Entry{ID: e.ID, Address: e.Addr, Kind: kind, Cell: e.Cell,
+		w := endpoints.Word{Gone: e.State == "removed", Entry: endpoints.Entry{ID: e.ID, Address: e.Addr, Kind: kind, Cell: e.Cell,
 			Zone: d.zones[e.Zone], Weight: e.Weight, Boot: e.Started / 1000}}
 		if ok {
 			w.Role = int(d.roles[kind].Role)
 		}
 		if e.State == "draining" {
-			w.State = believe.Draining
+			w.State = endpoints.Draining
 		}
 		words = append(words, w)
 	}
@@ -420,14 +420,14 @@
 }
 
 // list turns changes into what the host takes.
-func list(changes []believe.Word, known bool) protocol.List {
+func list(changes []endpoints.Word, known bool) protocol.List {
 	l := protocol.List{Form: brain.ListChanges, Addresses: map[string]string{}, Saved: known}
 	for _, w := range changes {
 		e := brain.Engine{ID: w.ID, Kind: w.Kind, Cell: w.Cell, Zone: w.Zone, Weight: w.Weight, BootTime: w.Boot}
 		switch {
 		case w.Gone:
 			e.State = brain.Removed
-		case w.State == believe.Draining:
+		case w.State == endpoints.Draining:
 			e.State = brain.Draining
 		}
 		l.Engines = append(l.Engines, e)
