--- a/brain/api.go
+++ b/brain/api.go
@@ -76,9 +76,10 @@
 // Limits are the site's allowances.
 type Limits struct {
 	MaxAttempts int
-	// UnsentFree tells that attempts which ended before their request was written do not count: neither towards MaxAttempts nor as
-	// outcomes after which a state may wait anew.
-	UnsentFree    bool
+	// UnsentFree tells that attempts which ended before their request was written do not count towards MaxAttempts.
+	UnsentFree bool
+	// HoldRunsOn tells that the time for which a state may wait keeps running while connections fail to come up.
+	HoldRunsOn    bool
 	Cancel        bool
 	Probe         bool
 	ParallelTries bool
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -220,7 +220,7 @@
 		q.overtake(e.reads, reading)
 	}
 	q.out, q.stage, e.reads = -1, held, without(e.reads, q)
-	q.holdSince = q.heldFrom(r.now, ev.Status, r.cfg.Limits.UnsentFree)
+	q.holdSince = q.heldFrom(r.now, ev.Status, r.cfg.Limits.HoldRunsOn)
 	if q.far > 0 {
 		r.link(q.reader, e).out, q.far = r.link(q.reader, e).out-q.far, 0
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -572,7 +572,7 @@
 		m.Engines = append(m.Engines, eng(fmt.Sprint("w", i), 1, 0))
 	}
 	cfg := testConfig()
-	cfg.Limits.MaxAttempts, cfg.Limits.UnsentFree = 9, true // the protocol on sockets
+	cfg.Limits.MaxAttempts, cfg.Limits.HoldRunsOn = 9, true // the protocol on sockets
 	r := start(t, cfg, m)
 	read := one[Send](t, r.Step(1, []Event{ask("a", 1)}))
 	acts, parsed, n := r.Step(1.1, []Event{Outcome{ID: "a", Engine: read.Engine, Status: Parsed, Spent: 0.1}}), 1.1, 1
--- a/brain/state.go
+++ b/brain/state.go
@@ -417,10 +417,10 @@
 	return load
 }
 
-// heldFrom is since when a state counts as held, after an attempt to take it has ended: from then on, but that where attempts which
-// were never written do not count the time keeps running while connections fail to come up.
-func (q *request) heldFrom(now float64, s Status, unsentFree bool) float64 {
-	if q.hasHold && unsentFree && (s == NoConnection || s == NotSent) {
+// heldFrom is since when a state counts as held, after an attempt to take it has ended: from then on, unless the time runs on while
+// connections fail to come up.
+func (q *request) heldFrom(now float64, s Status, runsOn bool) float64 {
+	if q.hasHold && runsOn && (s == NoConnection || s == NotSent) {
 		return q.holdSince
 	}
 	return now
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,6 +104,7 @@
 
 // newNode makes a node that has no sockets yet.
 func newNode(p plan, o options) (*Node, error) {
+	p.brain.Limits.HoldRunsOn = true // on sockets (PROTOCOL, the rules)
 	router, err := brain.New(p.brain, o.seed)
 	if err != nil {
 		return nil, err
