Failing tests: states held behind attempts that were never taken

The proxies can cut a machine off as the records show it (open connections carry nothing, new ones never come up), and the soak draws that and swallowed connections as faults. Two tests on real processes play both.

--- a/lab/soak/fault.go
+++ b/lab/soak/fault.go
@@ -22,6 +22,8 @@
 	"hang":      hangEngine,
 	"restart":   restartEngine,
 	"forget":    silenceConnections,
+	"swallow":   swallowConnections,
+	"cutoff":    cutOffEngines,
 	"pipeline":  pipelineRequests,
 	"faults":    queueResponseFaults,
 	"network":   degradeNetwork,
--- a/lab/soak/fault_engine.go
+++ b/lab/soak/fault_engine.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"strings"
+	"sync"
 	"time"
 
 	"dillroute/lab/platform"
@@ -43,6 +45,56 @@
 	t.pause(0, time.Second)
 }
 
+// swallowConnections makes the open connections to half of all engines carry nothing any more; new ones work.
+func swallowConnections(t *injection) {
+	for range 1 + t.rng.IntN(3) {
+		for _, id := range t.fleet.ids() {
+			if t.rng.IntN(2) == 0 {
+				continue
+			}
+			for _, p := range t.fleet.proxies(id) {
+				p.BlackholeConnections()
+			}
+		}
+		t.pause(500*time.Millisecond, 3*time.Second)
+	}
+}
+
+// cutOffEngines cuts the machines of four in five engines of one role, or of all roles, off some nodes.
+func cutOffEngines(t *injection) {
+	roles := []string{"read", "write", ""}
+	role := roles[t.rng.IntN(len(roles))]
+	nodes := t.drawNodes(len(t.fleet.nodes))
+	t.note("role=%q", role)
+	var proxies []*Proxy
+	for _, id := range t.fleet.ids() {
+		if strings.HasPrefix(id, role) && t.rng.Float64() < cutOffShare {
+			for _, n := range nodes {
+				proxies = append(proxies, t.fleet.proxy(n, id))
+			}
+		}
+	}
+	setModes(proxies, CutOff)
+	t.pause(300*time.Millisecond, 5*time.Second)
+	setModes(proxies, Forward)
+}
+
+// cutOffShare is the share of engines that cutOffEngines cuts off.
+const cutOffShare = 0.8
+
+// setModes changes the mode of several proxies at once.
+func setModes(proxies []*Proxy, m Mode) {
+	var all sync.WaitGroup
+	for _, p := range proxies {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			p.SetMode(m)
+		}()
+	}
+	all.Wait()
+}
+
 // responseFaults are the faults of responses that are drawn from.
 var responseFaults = []platform.Fault{
 	platform.NoiseForHead,
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -209,6 +210,20 @@
 	return proxies
 }
 
+// proxy returns the proxy of a node to an engine.
+func (f *Fleet) proxy(n *Node, id string) *Proxy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return n.routes[id]
+}
+
+// ids returns the ids of all engines by age.
+func (f *Fleet) ids() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.engineIDs)
+}
+
 func (f *Fleet) engine(id string) *platform.Engine {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -19,6 +19,7 @@
 	Blackhole      // nothing is forwarded in either direction, and connections stay open
 	Fragment       // what comes is forwarded in fragments of a few bytes
 	DelayNew       // new connections carry nothing for most of a second
+	CutOff         // open connections carry nothing and stay open, and new ones never come up
 )
 
 func (m Mode) String() string {
@@ -31,6 +32,8 @@
 		return "fragment"
 	case DelayNew:
 		return "delay new connections"
+	case CutOff:
+		return "cut off"
 	}
 	return fmt.Sprintf("Mode(%d)", int(m))
 }
@@ -44,6 +47,12 @@
 	fragmentInterval = 50 * time.Microsecond
 	// modePollInterval is how often a silenced connection looks at its mode again.
 	modePollInterval = 10 * time.Millisecond
+	// acceptQueueFillers is more than the shortest accept queue holds, with the connection that the proxy has accepted.
+	acceptQueueFillers = 8
+	// fillerTimeout is how long a connection to the own address takes at the most that the kernel does not drop.
+	fillerTimeout = 30 * time.Millisecond
+	// queuedTimeout is for how long connections are taken for those that came up under CutOff.
+	queuedTimeout = 20 * time.Millisecond
 	// forwardBufferBytes is the most that one read forwards.
 	forwardBufferBytes = 16 << 10
 )
@@ -57,6 +66,7 @@
 	mode       Mode
 	conns      map[net.Conn]bool // of both sides
 	blackholed map[net.Conn]bool // those of them that carry nothing any more
+	fillers    []net.Conn        // connections of its own that keep the accept queue full under CutOff
 }
 
 // NewProxy starts a proxy to an address; Close ends it.
@@ -73,17 +83,63 @@
 // Address is where the proxy listens.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
-// SetMode changes the mode. All connections are reset at the end of Blackhole.
+// SetMode changes the mode. All connections are reset at the end of Blackhole and of CutOff; what they had swallowed stays lost.
 func (p *Proxy) SetMode(m Mode) {
 	p.mu.Lock()
 	previous := p.mode
+	if previous == Blackhole || previous == CutOff {
+		p.blackholeAll()
+	}
 	p.mode = m
 	p.mu.Unlock()
-	if previous == Blackhole && m != Blackhole {
+	if previous == m {
+		return
+	}
+	if m == CutOff {
+		p.fillAcceptQueue()
+	}
+	if previous == CutOff {
+		p.emptyAcceptQueue()
+	}
+	if previous == Blackhole || previous == CutOff {
 		p.Reset()
 	}
 }
 
+// fillAcceptQueue makes the kernel drop what asks for a new connection, as a machine that is cut off does: the accept queue is made
+// as short as can be, and filled.
+func (p *Proxy) fillAcceptQueue() {
+	p.setAcceptQueue(0)
+	for range acceptQueueFillers {
+		c, err := net.DialTimeout("tcp", p.Address(), fillerTimeout)
+		if err != nil {
+			return // full
+		}
+		p.mu.Lock()
+		p.fillers = append(p.fillers, c)
+		p.mu.Unlock()
+	}
+}
+
+func (p *Proxy) emptyAcceptQueue() {
+	p.setAcceptQueue(unix.SOMAXCONN)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.fillers {
+		reset(c)
+	}
+	p.fillers = nil
+}
+
+// setAcceptQueue sets the length of the accept queue.
+func (p *Proxy) setAcceptQueue(length int) {
+	raw, err := p.listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return
+	}
+	raw.Control(func(fd uintptr) { unix.Listen(int(fd), length) })
+}
+
 // currentMode returns the mode as it is now.
 func (p *Proxy) currentMode() Mode {
 	p.mu.Lock()
@@ -95,6 +151,11 @@
 func (p *Proxy) BlackholeConnections() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.blackholeAll()
+}
+
+// blackholeAll is BlackholeConnections where the lock is held.
+func (p *Proxy) blackholeAll() {
 	for c := range p.conns {
 		p.blackholed[c] = true
 	}
@@ -104,7 +165,7 @@
 func (p *Proxy) silenced(c net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.mode == Blackhole || p.blackholed[c]
+	return p.mode == Blackhole || p.mode == CutOff || p.blackholed[c]
 }
 
 // Reset resets all connections.
@@ -120,6 +181,7 @@
 
 // Close ends the proxy.
 func (p *Proxy) Close() {
+	p.SetMode(Forward)
 	p.listener.Close()
 	p.Reset()
 }
@@ -132,18 +194,40 @@
 	c.Close()
 }
 
-// accept accepts connections until the listener is closed.
+// accept accepts connections until the listener is closed. Under CutOff it keeps the first one and takes no other.
 func (p *Proxy) accept() {
 	for {
 		c, err := p.listener.Accept()
 		if err != nil {
 			return
 		}
+		if p.currentMode() == CutOff {
+			for p.currentMode() == CutOff {
+				time.Sleep(modePollInterval)
+			}
+			reset(c)
+			p.resetQueued()
+			continue
+		}
 		p.track(c)
 		go p.serve(c)
 	}
 }
 
+// resetQueued resets the connections that have come up in the accept queue under CutOff: what was written to them is lost.
+func (p *Proxy) resetQueued() {
+	l := p.listener.(*net.TCPListener)
+	l.SetDeadline(time.Now().Add(queuedTimeout))
+	defer l.SetDeadline(time.Time{})
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		reset(c)
+	}
+}
+
 func (p *Proxy) track(c net.Conn) {
 	p.mu.Lock()
 	p.conns[c] = true
--- a/lab/soak/scenario_test.go
+++ b/lab/soak/scenario_test.go
@@ -288,6 +288,62 @@
 	s.checkRules()
 }
 
+// Reported from a pre-production run: states of requests that may be repeated were neither used nor released in time, on nodes that no
+// signal and no list change had reached. The prefills were answered; the decode attempts had been written to connections that were open
+// already, and were never taken.
+//
+// How it came about: the machines of several decode engines were cut off together. Their open connections took what was written and
+// carried nothing; connections to others of them failed after the connect timeout, which used up most of the states' time.
+//
+// Cause: a written attempt counted as in flight, and three guards each relied on another to end it before the limit on the state: the
+// scheduler cancels only attempts that are overdue, which failed connections put off, and only with two attempts left; the release
+// beside a silent attempt left such classes to the scheduler; the host looked once.
+//
+// Proof: the pauses before the writes are the connect timeout, the ejections are those of failed connections; here the node's debug log
+// has the one look ("attempt silent") and no release before the end of the client's time.
+func TestStatesAreReleasedWhenDecodeEnginesAreCutOff(t *testing.T) {
+	s := newFixture(t)
+	s.startNode()
+	s.startClients(40)
+	rng := rand.New(rand.NewPCG(3, 1))
+	for range 5 {
+		time.Sleep(time.Second)
+		var cut []*Proxy
+		for _, id := range s.fleet.engineIDs {
+			if id[0] != 'r' && rng.Float64() < cutOffShare {
+				cut = append(cut, s.node.routes[id])
+			}
+		}
+		setModes(cut, CutOff)
+		time.Sleep(2500 * time.Millisecond)
+		setModes(cut, Forward)
+	}
+	time.Sleep(time.Second)
+	s.stopClients()
+	s.checkRules()
+}
+
+// The same without failed connections: what is written to open connections is swallowed, again and again, while new ones work. Engines
+// are heard of then, so that hearing of an engine is no proof that an attempt there has arrived.
+func TestStatesAreReleasedWhenOpenConnectionsSwallow(t *testing.T) {
+	s := newFixture(t)
+	s.startNode()
+	s.startClients(24)
+	time.Sleep(time.Second)
+	rng := rand.New(rand.NewPCG(3, 2))
+	for range 10 {
+		for _, id := range s.fleet.engineIDs {
+			if rng.IntN(2) == 0 {
+				s.node.routes[id].BlackholeConnections()
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	time.Sleep(time.Second)
+	s.stopClients()
+	s.checkRules()
+}
+
 // setDecodeMode sets the mode of the proxies to all engines that decode.
 func (s *fixture) setDecodeMode(m Mode) {
 	for _, id := range s.fleet.engineIDs {
