--- a/internal/decide/requesttable/golden_test.go
+++ b/internal/decide/requesttable/golden_test.go
@@ -601,7 +601,8 @@
 		"command grant ok=false", "event outcome status=served", "event outcome status=server-error", "event outcome status=turned-away",
 		"event outcome status=no-answer", "event outcome status=no-connection", "event outcome status=connection-lost",
 		"event outcome status=called-off", "event outcome status=not-sent", "event outcome status=parsed",
-		"command release", "command release at limit", "command check", "command answer", "command pass", "command forget", "command fault"} {
+		"command release", "command release at limit", "command check", "command answer", "command pass", "command forget",
+		"command fault"} {
 		if counts[k] == 0 {
 			t.Errorf("no recording has %q", k)
 		}
--- a/internal/decide/requesttable/heldstate_test.go
+++ b/internal/decide/requesttable/heldstate_test.go
@@ -19,7 +19,7 @@
 	inFlight  []StartAttempt
 	canceled  map[int]bool
 	releases  []ReleaseState
-	told      int // scheduler.StateReleased events
+	notices   int // scheduler.StateReleased events
 }
 
 func newHeldStateWorld(all bool, class int) *heldStateWorld {
@@ -34,7 +34,7 @@
 	events, commands := w.table.Drain()
 	for _, event := range events {
 		if _, ok := event.(scheduler.StateReleased); ok {
-			w.told++
+			w.notices++
 		}
 	}
 	for _, command := range commands {
@@ -96,7 +96,8 @@
 			for _, attempt := range []string{"none", "not delivered", "not delivered, does not end", "silent", "silent twice"} {
 				for _, prefills := range []int{1, 2} {
 					for _, secondPrefill := range []bool{false, true} {
-						name := fmt.Sprintf("all %v, class %d, attempt %s, %d prefills, one in flight %v", all, class, attempt, prefills, secondPrefill)
+						name := fmt.Sprintf("all %v, class %d, attempt %s, %d prefills, one in flight %v",
+							all, class, attempt, prefills, secondPrefill)
 						requireReleaseAtLimit(t, name, all, class, attempt, prefills, secondPrefill)
 					}
 				}
@@ -137,8 +138,8 @@
 		t.Errorf("%s: the state is held for %.2f s", name, w.now-heldSince)
 		return
 	}
-	if w.told != 1 {
-		t.Errorf("%s: the scheduler was told %d times, want once", name, w.told)
+	if w.notices != 1 {
+		t.Errorf("%s: the scheduler was notified %d times, want once", name, w.notices)
 	}
 	first := w.releases[0]
 	if first.Engine != "r0" || !first.AtLimit || first.HeldSince != heldSince {
