--- a/internal/decide/requesttable/heldstate.go
+++ b/internal/decide/requesttable/heldstate.go
@@ -12,7 +12,7 @@
 // obligation that several parties could meet, and each left to another, was met by none.
 //
 // A prefill in flight is not released beside, though its response may be lost and its state held: such a call takes away what the engine
-// is still at work on. The scheduler cancels it once the engine has answered a later one (scheduler.Scheduler.responseLost).
+// is still at work on. The scheduler cancels it where its response was probably lost (scheduler.Scheduler.responseLost).
 
 // holdsState reports whether an engine holds a state of the request, or may hold one whose release is owed.
 func (r *requestRecord) holdsState() bool {
--- a/internal/decide/staterelease/rank.go
+++ b/internal/decide/staterelease/rank.go
@@ -28,6 +28,34 @@
 	return ranked
 }
 
+// laterRoundCalls is how many calls are made at once after the first, which is mostly acknowledged. Each may need a connection, of which
+// a node has few.
+const laterRoundCalls = 4
+
+// NextEngines returns the engines that the next round of calls goes to: the first of RankEngines that have not been called. Later
+// rounds call several, so that a node which is cut off from nearly all engines finds one that responds while there is time.
+func (s *RetrySchedule) NextEngines(engines []Engine) []string {
+	calls := 1
+	if s.Attempts > 0 {
+		calls = laterRoundCalls
+	}
+	if s.called == nil {
+		s.called = map[string]bool{}
+	}
+	var next []string
+	for _, e := range RankEngines(engines) {
+		if !s.called[e.ID] && len(next) < calls {
+			s.called[e.ID] = true
+			next = append(next, e.ID)
+		}
+	}
+	if len(next) == 0 && len(engines) > 0 { // all were called: begin anew
+		s.called = nil
+		return s.NextEngines(engines)
+	}
+	return next
+}
+
 func (e *Engine) failedLast() bool { return e.LastFailure > e.LastSuccess }
 
 // firstWithout compares two engines by a drawback: the one without it comes first.
--- a/internal/decide/staterelease/retry.go
+++ b/internal/decide/staterelease/retry.go
@@ -4,12 +4,12 @@
 
 // RetrySchedule schedules the calls that release one state.
 type RetrySchedule struct {
-	Deadline     float64   // the latest time at which the state may still be held
-	Attempts     int       // calls made so far
-	AnyEngine    bool      // any engine releases what any holds: the next call goes to another one, so that there is little to wait for
-	PastDeadline bool      // it is known that the state was not released in time
-	Further      []float64 // when calls are made even if all before were acknowledged, in order (CallsAfterCut)
-	lastCall     float64   // when the latest call was to be made
+	Deadline  float64         // the latest time at which the state may still be held
+	Attempts  int             // rounds of calls so far; where one engine is called, a round is one call
+	AnyEngine bool            // any engine releases what any holds: the next calls go to others, so that there is little to wait for
+	Further   []float64       // when calls are made even if all before were acknowledged, in order (CallsAfterCut)
+	lastCall  float64         // when the latest call was to be made
+	called    map[string]bool // engines that were called since all had been
 }
 
 // CallResult is the outcome of a call.
@@ -81,6 +81,7 @@
 		at, s.Further = s.Further[0], s.Further[1:]
 		if at >= now {
 			s.Attempts = 0
+			s.called = nil
 			s.Deadline += at - now
 			return at, true
 		}
--- a/internal/decide/staterelease/staterelease_test.go
+++ b/internal/decide/staterelease/staterelease_test.go
@@ -58,6 +58,43 @@
 	}
 }
 
+// A node that is cut off from all engines but one finds it within four rounds, calls no engine twice before, and begins anew then.
+func TestRoundsOfCallsFindTheEngineThatResponds(t *testing.T) {
+	var engines []Engine
+	for i := range 11 {
+		engines = append(engines, Engine{ID: string(rune('a' + i)), Listed: true, LastSuccess: float64(20 - i)})
+	}
+	schedule := RetrySchedule{Deadline: 10.4, AnyEngine: true}
+	now, called := 10.0, map[string]int{}
+	for round := range 4 {
+		for _, id := range schedule.NextEngines(engines) {
+			called[id]++
+			i := id[0] - 'a'
+			engines[i].LastFailure = 30
+		}
+		if round == 0 && called["a"] != 1 {
+			t.Errorf("got %v in the first round, want the engine that responded latest", called)
+		}
+		now += schedule.CallTimeout(now)
+		at, again := schedule.Next(now, Unacknowledged)
+		if !again || at > now+0.05 {
+			t.Fatalf("round %d: the next one at %g, %v, now %g", round, at, again, now)
+		}
+		now = at
+	}
+	if len(called) != len(engines) || now > 10.4 {
+		t.Errorf("called %v in four rounds of %.2f s, want all engines in 0.4 s", called, now-10)
+	}
+	for id, n := range called {
+		if n != 1 {
+			t.Errorf("%s was called %d times", id, n)
+		}
+	}
+	if again := schedule.NextEngines(engines); len(again) == 0 {
+		t.Error("no engine is called once all have been")
+	}
+}
+
 func TestCallTimeoutLeavesTimeForRetries(t *testing.T) {
 	schedule := RetrySchedule{Deadline: 11}
 	if w := schedule.CallTimeout(10); w > 0.3 {
--- a/internal/node/staterelease.go
+++ b/internal/node/staterelease.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"sync"
+
 	"dillroute/internal/decide/permit"
 	"dillroute/internal/decide/requesttable"
 	"dillroute/internal/decide/staterelease"
@@ -11,6 +13,7 @@
 type stateRelease struct {
 	command  requesttable.ReleaseState
 	schedule staterelease.RetrySchedule
+	audited  bool // the time at which the state was released, or that it was not in time, is known
 }
 
 // releaseState releases a state by calls to the engine that may hold it, or where every engine can release, to whichever
@@ -73,24 +76,57 @@
 	n.callRelease(now, release, make(chan struct{}))
 }
 
-// callRelease makes one release call on a goroutine of its own and closes done when the call has ended.
+// releaseRound is a set of release calls that are made at once, until the first is acknowledged or all have failed. It belongs to the
+// event loop, but for done.
+type releaseRound struct {
+	pending int // calls that have not ended
+	ended   bool
+	done    func() // closes the channel that an attempt may wait for
+}
+
+// callRelease makes the calls of one round on goroutines of their own, and closes done when the round has ended.
 func (n *Node) callRelease(now float64, release *stateRelease, done chan struct{}) {
-	engine := release.command.Engine
-	if n.config.anyEngineReleases {
-		engine = n.engineForRelease(engine, release.schedule.Attempts)
-	}
-	address := n.endpoint(engine).address
-	id, attempt := release.command.ID, release.command.Attempt
+	targets := n.releaseTargets(release)
+	round := &releaseRound{pending: len(targets), done: sync.OnceFunc(func() { close(done) })}
 	timeout := seconds(release.schedule.CallTimeout(now))
-	n.jobs.start(func() {
-		err := n.engines.Release(address, id, attempt, timeout)
-		close(done)
-		n.loop.post(func(now float64) { n.releaseCallEnded(now, release, engine, err) })
-	})
+	for _, engine := range targets {
+		address := n.endpoint(engine).address
+		n.jobs.start(func() {
+			err := n.engines.Release(address, release.command.ID, release.command.Attempt, timeout)
+			if err == nil {
+				round.done()
+			}
+			n.loop.post(func(now float64) { n.releaseCallEnded(now, release, round, engine, err) })
+		})
+	}
+}
+
+// releaseTargets returns the engines that are called in the next round: the one that may hold the state, or where every engine can
+// release, those most likely to respond.
+func (n *Node) releaseTargets(release *stateRelease) []string {
+	holder := release.command.Engine
+	if !n.config.anyEngineReleases {
+		return []string{holder}
+	}
+	var candidates []staterelease.Engine
+	for _, id := range n.engineIDs() {
+		endpoint := n.endpoint(id)
+		candidates = append(candidates, staterelease.Engine{
+			ID:          id,
+			Listed:      n.table().EngineReady(id),
+			Holder:      id == holder,
+			LastSuccess: endpoint.lastSuccess,
+			LastFailure: endpoint.lastFailure,
+		})
+	}
+	if len(candidates) == 0 {
+		return []string{holder}
+	}
+	return release.schedule.NextEngines(candidates)
 }
 
-// releaseCallEnded records the result of a release call and schedules the next call if one is needed.
-func (n *Node) releaseCallEnded(now float64, release *stateRelease, engine string, err error) {
+// releaseCallEnded records the result of a release call, and that of its round once it is known.
+func (n *Node) releaseCallEnded(now float64, release *stateRelease, round *releaseRound, engine string, err error) {
 	id := release.command.ID
 	result := staterelease.Acknowledged
 	if err != nil {
@@ -100,11 +136,19 @@
 	}
 	n.recordReleaseContact(now, engine, result)
 	n.log.Debug("state release call ended", "request", id, "attempt", release.command.Attempt, "engine", engine,
-		"call", release.schedule.Attempts, "acknowledged", err == nil)
-	n.auditRelease(now, release, result)
-	if result == staterelease.Acknowledged {
-		release.command.HeldSince = now // what is left after this call has been held for no longer
+		"round", release.schedule.Attempts, "acknowledged", err == nil)
+	round.pending--
+	if round.ended || result == staterelease.Unacknowledged && round.pending > 0 {
+		return
 	}
+	round.ended = true
+	round.done()
+	n.releaseRoundEnded(now, release, result)
+}
+
+// releaseRoundEnded records the result of a round and schedules the next one if one is needed.
+func (n *Node) releaseRoundEnded(now float64, release *stateRelease, result staterelease.CallResult) {
+	n.auditRelease(now, release, result)
 	at, again := release.schedule.Next(now, result)
 	if !again {
 		n.owned.pendingReleases--
@@ -126,9 +170,10 @@
 	}
 }
 
-// auditRelease reports, once, a state that was not released within the limit.
+// auditRelease reports, once, a state that was not released within the limit. Rounds after one that was acknowledged are for what a
+// cut attempt may have left meanwhile; nothing is known to be held then.
 func (n *Node) auditRelease(now float64, release *stateRelease, result staterelease.CallResult) {
-	if release.schedule.PastDeadline || n.config.table.StateReleaseLimit <= 0 {
+	if release.audited || n.config.table.StateReleaseLimit <= 0 {
 		return
 	}
 	state := permit.HeldState{
@@ -137,25 +182,6 @@
 		By:       release.command.HeldSince + n.config.table.StateReleaseLimit + permit.HeldStateSlack,
 	}
 	broken := state.Violations()
-	release.schedule.PastDeadline = len(broken) > 0
+	release.audited = state.Answered || len(broken) > 0
 	n.audit(release.command.ID, broken)
 }
-
-// engineForRelease returns the engine that the call of a number goes to, where every engine can release.
-func (n *Node) engineForRelease(holder string, call int) string {
-	var candidates []staterelease.Engine
-	for _, id := range n.engineIDs() {
-		endpoint := n.endpoint(id)
-		candidates = append(candidates, staterelease.Engine{
-			ID:          id,
-			Listed:      n.table().EngineReady(id),
-			Holder:      id == holder,
-			LastSuccess: endpoint.lastSuccess,
-			LastFailure: endpoint.lastFailure,
-		})
-	}
-	if len(candidates) == 0 {
-		return holder
-	}
-	return staterelease.RankEngines(candidates)[call%len(candidates)].ID
-}
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -74,6 +74,7 @@
 	maxAttempts         = 4
 	maxResponseTokens   = 60
 	shortTimeoutShare   = 0.05 // of operations have hardly any time
+	stoppingNodeShare   = 0.7  // of attempts go to a node that stops, where a connection to one is open
 )
 
 // classes are those of requests, drawn alike.
@@ -121,7 +122,7 @@
 func (c *client) perform(stop <-chan struct{}) {
 	request := c.drawRequest()
 	for attempt := 0; attempt < maxAttempts; {
-		n := c.fleet.pickNode(c.rng)
+		n := c.pickNode()
 		if n == nil {
 			return
 		}
@@ -147,6 +148,22 @@
 	}
 }
 
+// pickNode draws the node of the next attempt: one in service, or now and then one that stops and to which a connection is still open.
+func (c *client) pickNode() *Node {
+	if c.rng.Float64() < stoppingNodeShare {
+		for _, n := range c.fleet.nodes {
+			if conn := c.conns[n]; conn != nil && n.stopping() {
+				if conn.idle() {
+					return n
+				}
+				conn.Close()
+				delete(c.conns, n)
+			}
+		}
+	}
+	return c.fleet.pickNode(c.rng)
+}
+
 // Outcomes of an attempt that are not recorded.
 const (
 	resend    record.Outcome = "crossed" // it could not be written, because the node had closed the idle connection: it is sent again
--- a/lab/soak/node.go
+++ b/lab/soak/node.go
@@ -83,6 +83,13 @@
 	return n.inService
 }
 
+// stopping reports whether the node was sent SIGTERM and has not ended. Clients use the connections that it leaves open.
+func (n *Node) stopping() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.terminatedAt.IsZero() && n.killedAt.IsZero() && n.process.endedAt.IsZero()
+}
+
 // Times of the check that a node is ready.
 const (
 	readyTimeout      = 10 * time.Second // of a start
--- a/scheduler/outlier.go
+++ b/scheduler/outlier.go
@@ -21,7 +21,7 @@
 	overdueGrace = 0.3
 	// lostAfterOvertaken is the number of later attempts which an engine answers before it is taken to have lost an earlier one.
 	lostAfterOvertaken = 2
-	// lostResponseShare is the share of the state release limit after which an overtaken prefill is taken to have lost its response.
+	// lostResponseShare is the share of the state release limit after which a prefill may be taken to have lost its response.
 	lostResponseShare = 0.8
 	// predictionErrorFactor is the number of mean prediction errors that are allowed for, as in RFC 6298, section 2.
 	predictionErrorFactor = 4
@@ -144,10 +144,15 @@
 }
 
 // responseLost tells whether the response to a prefill was probably lost, so that its state waits at the engine unknown to anyone: the
-// engine has answered a later prefill, and the attempt has taken as long as a state may be held.
+// attempt has taken as long as a state may be held, and its engine has answered a later prefill, or nothing at all while the attempt
+// became overdue. That other engines are late too is no reason to wait here.
 func (s *Scheduler) responseLost(req *request) bool {
-	return req.stage == stagePrefilling && s.cfg.Limits.StateTimeRunsUntilResponse && req.inFlight.overtaken > 0 &&
-		s.now >= s.lostResponseAt(req)
+	if req.stage != stagePrefilling || !s.cfg.Limits.StateTimeRunsUntilResponse || s.now < s.lostResponseAt(req) {
+		return false
+	}
+	waiting := req.inFlight
+	overdue := s.now > waiting.sentAt+overdueFactor*waiting.expected+overdueGrace
+	return waiting.overtaken > 0 || overdue && waiting.engine.lastSuccess < waiting.sentAt
 }
 
 // lostResponseAt is when a prefill in flight has taken as long as its state may be held, with the time to release it.
