--- a/lab/platform/exchange.go
+++ b/lab/platform/exchange.go
@@ -69,6 +69,7 @@
 	}
 	if e.Role == rolePrefill {
 		x.base.Note = "prefill"
+		x.base.State = stateID(x.call, e.ID)
 	} else {
 		x.base.State = stateID(x.call, e.platform.stateHolder(x.call))
 	}
@@ -100,13 +101,17 @@
 	case IncompleteRejection:
 		return x.respondIncomplete("503 x\r\nX-Rejected: 1")
 	case CloseBeforeResponse: // the prefill has succeeded just then
-		e.platform.reserveState(x.base.Node, x.call, e.ID)
+		e.platform.reserveState(x.base.Node, x.call, e.ID, "")
 		return false
 	}
 	if !x.wait(e.PrefillTime) {
 		return false
 	}
-	e.platform.reserveState(x.base.Node, x.call, e.ID)
+	note := ""
+	if e.platform.losesResponse(e.ID, x.conn.RemoteAddr()) {
+		note = record.ResponseLost
+	}
+	e.platform.reserveState(x.base.Node, x.call, e.ID, note)
 	loadReport := "util=0.2,queue=0,x0=0.1"
 	switch x.fault {
 	case MalformedLoadReport:
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -18,6 +18,8 @@
 type Platform struct {
 	Log  *record.Log
 	Node string // that records name where no route says otherwise
+	// LosesResponse reports whether what an engine sends over the connection from an address reaches nobody; nil = it always does.
+	LosesResponse func(engine string, peer net.Addr) bool
 
 	mu         sync.Mutex // guards the fields below
 	engines    map[string]*Engine
@@ -114,6 +116,11 @@
 	return p.Node
 }
 
+// losesResponse reports whether what an engine sends over the connection from an address reaches nobody.
+func (p *Platform) losesResponse(engine string, peer net.Addr) bool {
+	return p.LosesResponse != nil && p.LosesResponse(engine, peer)
+}
+
 // RegisterCall makes an id known, as the client that sends it does.
 func (p *Platform) RegisterCall(call string, operation Operation) {
 	p.mu.Lock()
--- a/lab/platform/state.go
+++ b/lab/platform/state.go
@@ -12,8 +12,8 @@
 	return len(p.states)
 }
 
-// reserveState notes that an engine reserves a state for a call.
-func (p *Platform) reserveState(node, call, engine string) {
+// reserveState notes that an engine reserves a state for a call; note is that of its record.
+func (p *Platform) reserveState(node, call, engine, note string) {
 	p.mu.Lock()
 	operation := p.operations[call]
 	if p.states[call] == nil {
@@ -29,6 +29,7 @@
 		Node:   node,
 		Engine: engine,
 		State:  stateID(call, engine),
+		Note:   note,
 	})
 }
 
--- a/lab/record/record.go
+++ b/lab/record/record.go
@@ -149,3 +149,7 @@
 	slices.SortStableFunc(records, func(a, b Record) int { return cmp.Compare(a.T, b.T) })
 	return records
 }
+
+// ResponseLost is the note of a StateReserved whose prefill was answered over a connection that carries nothing any more: the attempt is
+// in flight until its node closes that connection, which ends it.
+const ResponseLost = "response lost"
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -60,12 +60,23 @@
 		recoveryOutcomes: map[record.Outcome]int{},
 		recoveryByNode:   map[string]map[record.Outcome]int{},
 	}
+	f.platform.LosesResponse = f.losesResponse
 	for _, role := range firstEngines {
 		f.addEngine(role)
 	}
 	return f
 }
 
+// losesResponse reports whether a proxy swallows what an engine sends over the connection from an address.
+func (f *Fleet) losesResponse(engine string, peer net.Addr) bool {
+	for _, p := range f.proxies(engine) {
+		if p.LosesResponse(peer) {
+			return true
+		}
+	}
+	return false
+}
+
 // Play plays a scenario to its end.
 func Play(s Scenario) (*Report, error) {
 	f := newFleet(s)
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -168,6 +168,18 @@
 	return p.mode == Blackhole || p.mode == CutOff || p.blackholed[c]
 }
 
+// LosesResponse reports whether what the target sends over the connection from an address of the proxy is not forwarded.
+func (p *Proxy) LosesResponse(peer net.Addr) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if c.LocalAddr().String() == peer.String() {
+			return p.mode == Blackhole || p.mode == CutOff || p.blackholed[c]
+		}
+	}
+	return false
+}
+
 // Reset resets all connections.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
--- a/scheduler/outlier.go
+++ b/scheduler/outlier.go
@@ -21,8 +21,6 @@
 	overdueGrace = 0.3
 	// lostAfterOvertaken is the number of later attempts which an engine answers before it is taken to have lost an earlier one.
 	lostAfterOvertaken = 2
-	// lostResponseShare is the share of the state release limit after which a prefill may be taken to have lost its response.
-	lostResponseShare = 0.8
 	// predictionErrorFactor is the number of mean prediction errors that are allowed for, as in RFC 6298, section 2.
 	predictionErrorFactor = 4
 )
@@ -116,12 +114,11 @@
 // cancelStuckAttempt cancels a stuck attempt, so that the request is retried elsewhere while there is time. Attempts at an
 // engine that still answers others go on: under overload a retry would only add to the load.
 func (s *Scheduler) cancelStuckAttempt(req *request) {
-	if req.inFlight == nil || req.inFlight.cancelRequested || !s.cfg.Limits.Cancel {
+	if req.inFlight == nil || req.inFlight.cancelRequested || !s.cfg.Limits.Cancel || s.attemptsLeft(req) < 2 {
 		return
 	}
 	harmless := req.stage == stagePrefilling || req.class.Effect == Idempotent
-	stuck := harmless && s.attemptsLeft(req) >= 2 && s.isStuck(req.inFlight)
-	if stuck || s.responseLost(req) {
+	if harmless && s.isStuck(req.inFlight) {
 		req.inFlight.cancelRequested = true
 		s.emit(Cancel{ID: req.ID, Attempt: req.inFlight.number})
 	}
@@ -143,23 +140,6 @@
 	}
 }
 
-// responseLost tells whether the response to a prefill was probably lost, so that its state waits at the engine unknown to anyone: the
-// attempt has taken as long as a state may be held, and its engine has answered a later prefill, or nothing at all while the attempt
-// became overdue. That other engines are late too is no reason to wait here.
-func (s *Scheduler) responseLost(req *request) bool {
-	if req.stage != stagePrefilling || !s.cfg.Limits.StateTimeRunsUntilResponse || s.now < s.lostResponseAt(req) {
-		return false
-	}
-	waiting := req.inFlight
-	overdue := s.now > waiting.sentAt+overdueFactor*waiting.expected+overdueGrace
-	return waiting.overtaken > 0 || overdue && waiting.engine.lastSuccess < waiting.sentAt
-}
-
-// lostResponseAt is when a prefill in flight has taken as long as its state may be held, with the time to release it.
-func (s *Scheduler) lostResponseAt(req *request) float64 {
-	return req.inFlight.sentAt + lostResponseShare*s.cfg.Rules.StateReleaseLimit
-}
-
 // eligibleEngines returns the engines that fit, are listed as ready (rule 3) and accept work. Where none accepts work, it
 // returns the one that failed least.
 func (s *Scheduler) eligibleEngines(fits func(e *engine) bool) []*engine {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -194,9 +194,6 @@
 	if overdue := s.overdueAt(req.inFlight); overdue > s.now {
 		at = min(at, overdue+s.cfg.Tick)
 	}
-	if req.stage == stagePrefilling && s.cfg.Limits.StateTimeRunsUntilResponse && s.lostResponseAt(req) > s.now {
-		at = min(at, s.lostResponseAt(req))
-	}
 	return at
 }
 
