Every silent attempt's state is released at its limit; proofs of arrival told nothing

Cause: whether the engine of a silent attempt has sent bytes over an older connection, or works on what was sent before, was tried as proof that the attempt has arrived. The first also reads a clock for each read. Both are removed; the rule needs no such proof.

--- a/internal/decide/requesttable/attempts.go
+++ b/internal/decide/requesttable/attempts.go
@@ -151,7 +151,6 @@
 	}
 	record.response = responseStreaming
 	record.hold.lastResponse = now
-	t.noteAnswered(a)
 	a.state = attemptStreaming
 	if record.state.isHeld() && !a.fetches(record.state) { // the engine computed the prefill itself
 		t.releaseHeldState(id, record)
--- a/internal/decide/requesttable/endpoints.go
+++ b/internal/decide/requesttable/endpoints.go
@@ -11,8 +11,6 @@
 	cell  int
 	zone  int
 	role  scheduler.Role
-
-	latestAnswered float64 // when the latest of the attempts was sent whose responses it has begun (s)
 }
 
 // setState changes the state; since moves only if the state differs.
--- a/internal/decide/requesttable/heldstate.go
+++ b/internal/decide/requesttable/heldstate.go
@@ -46,11 +46,11 @@
 	t.issue(CheckHeldState{ID: id, At: at})
 }
 
-// Deliveries holds what is known of the way of the requests of attempts in flight, by the attempts' numbers.
-type Deliveries map[int]staterelease.Delivery
+// Deliveries holds the numbers of the attempts in flight whose requests have left this machine.
+type Deliveries map[int]bool
 
 // HeldStateDue carries out a CheckHeldState.
-func (t *Table) HeldStateDue(now float64, check CheckHeldState, deliveries Deliveries) {
+func (t *Table) HeldStateDue(now float64, check CheckHeldState, delivered Deliveries) {
 	record := t.records[check.ID]
 	if record == nil {
 		return
@@ -59,14 +59,14 @@
 		record.hold.checkAt = 0
 	}
 	if record.holdsState() && now >= t.dueAt(record, record.hold.since()) {
-		t.enforceLimit(now, check.ID, record, deliveries)
+		t.enforceLimit(now, check.ID, record, delivered)
 	}
 	t.watchHeldState(now, check.ID, record)
 }
 
 // enforceLimit does what is due about held states.
-func (t *Table) enforceLimit(now float64, id string, record *requestRecord, deliveries Deliveries) {
-	switch staterelease.AtLimit(t.progress(record, deliveries)) {
+func (t *Table) enforceLimit(now float64, id string, record *requestRecord, delivered Deliveries) {
+	switch staterelease.AtLimit(record.progress(delivered)) {
 	case staterelease.Wait:
 		record.hold.start = now
 	case staterelease.Cancel:
@@ -77,34 +77,23 @@
 }
 
 // progress returns how far the attempts in flight have come.
-func (t *Table) progress(record *requestRecord, deliveries Deliveries) staterelease.Progress {
+func (r *requestRecord) progress(delivered Deliveries) staterelease.Progress {
 	furthest := staterelease.NoneInFlight
-	for i := range record.attempts {
-		a := &record.attempts[i]
+	for i := range r.attempts {
+		a := &r.attempts[i]
 		switch {
 		case !a.isInFlight():
 		case a.isStreaming():
 			furthest = staterelease.Responding
+		case delivered[a.number] || a.isCanceling():
+			furthest = max(furthest, staterelease.Silent)
 		default:
-			furthest = max(furthest, staterelease.ProgressOf(deliveries[a.number], t.overtaken(a), a.isCanceling()))
+			furthest = max(furthest, staterelease.NotDelivered)
 		}
 	}
 	return furthest
 }
 
-// overtaken reports whether the engine of an attempt has begun the response of one that was sent later.
-func (t *Table) overtaken(a *attempt) bool {
-	engine := t.engines[a.engine]
-	return engine != nil && engine.latestAnswered > a.sentAt
-}
-
-// noteAnswered records that an engine has begun the response of an attempt.
-func (t *Table) noteAnswered(a *attempt) {
-	if engine := t.engines[a.engine]; engine != nil {
-		engine.latestAnswered = max(engine.latestAnswered, a.sentAt)
-	}
-}
-
 // releaseAtLimit releases all that engines hold, and tells the scheduler, since what is released cannot be fetched any more.
 func (t *Table) releaseAtLimit(id string, record *requestRecord) {
 	since := record.hold.since()
--- a/internal/decide/staterelease/limit.go
+++ b/internal/decide/staterelease/limit.go
@@ -13,39 +13,10 @@
 	// Silent says that an attempt has left this machine, or is being canceled, and that no byte of a response has come. Whether it has
 	// reached a running engine cannot be known: the kernel of the next machine has its bytes.
 	Silent
-	// Arrived says that an attempt has reached a running engine, though no byte of its response has come.
-	Arrived
 	// Responding says that the response of an attempt has begun to stream.
 	Responding
 )
 
-// Delivery is what is known of the way of an attempt's request to its engine.
-type Delivery int
-
-// Values of Delivery.
-const (
-	// NotSent says that the request waits in this machine.
-	NotSent Delivery = iota
-	// Unconfirmed says that the next machine has the request. Whether the engine has cannot be known.
-	Unconfirmed
-	// Confirmed says that the engine's machine has been active since, over a connection that would have fallen silent with this one.
-	Confirmed
-)
-
-// ProgressOf returns how far an attempt has come of which no byte of a response has come. One that was overtaken, since its engine has
-// begun the response of a later attempt, may be lost on a connection that has fallen silent alone; so may one that is being canceled.
-func ProgressOf(delivery Delivery, overtaken, canceling bool) Progress {
-	switch {
-	case canceling:
-		return Silent
-	case delivery == NotSent:
-		return NotDelivered
-	case delivery == Confirmed && !overtaken:
-		return Arrived
-	}
-	return Silent
-}
-
 // Action is what is done about a state that is due for its release.
 type Action int
 
@@ -75,11 +46,11 @@
 // AtLimit returns what is done when a state is due. It asks neither for the class of the request nor for what the scheduler may do
 // about it: whoever else could have used the state in time has not.
 //
-// An attempt that has arrived is in flight by the rule, and slow: to release its state would cost a prefill (measured in
-// docs/incidents/held-states-2026-12.md).
+// A silent attempt may have reached its engine, which is slow; its state is released all the same. Whether the engine was heard of, over
+// what connection and in what order were tried as proof of arrival, and told nothing (docs/incidents/held-states-2026-12.md).
 func AtLimit(progress Progress) Action {
 	switch progress {
-	case Arrived, Responding:
+	case Responding:
 		return Wait
 	case NotDelivered:
 		return Cancel
--- a/internal/http1/clientconn.go
+++ b/internal/http1/clientconn.go
@@ -7,7 +7,6 @@
 	"os"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,9 +28,6 @@
 	readOnUntil time.Time  // the latest deadline that may be set; zero = ReadOnFor was not called
 
 	readPastDeadline int // bytes read after readOnUntil
-
-	madeAt     int64        // since activityEpoch (ns)
-	lastReadAt atomic.Int64 // when bytes last came, or else madeAt
 	// Reused tells that the connection has carried an exchange before.
 	Reused bool
 	// IdleFor is for how long it was idle before this use.
@@ -64,7 +60,7 @@
 
 // Close closes the connection; it may be called from any goroutine and ends a read or write that waits.
 func (c *ClientConn) Close() error {
-	c.once.Do(func() { c.pool.releaseConn(c) })
+	c.once.Do(c.pool.release)
 	return c.netConn.Close()
 }
 
@@ -139,9 +135,6 @@
 
 func (a deadlineReader) Read(p []byte) (int, error) {
 	n, err := a.c.netConn.Read(p)
-	if n > 0 {
-		a.c.noteRead()
-	}
 	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !a.c.readingOn() || a.c.readPastDeadline >= maxReadPastDeadline {
 		return n, err
 	}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -32,7 +32,6 @@
 
 	mu     sync.Mutex
 	idle   map[string][]*ClientConn
-	conns  map[string]map[*ClientConn]bool // all that are open
 	open   int
 	closed bool
 }
@@ -84,7 +83,6 @@
 	}
 	c := &ClientConn{address: addr, pool: p, netConn: nc, limits: p.Limits}
 	c.buffered = bufio.NewReaderSize(deadlineReader{c}, 1<<10)
-	p.track(c)
 	return c, nil
 }
 
@@ -107,10 +105,7 @@
 		xs := p.idle[oldest.address]
 		p.idle[oldest.address] = slices.DeleteFunc(xs, func(c *ClientConn) bool { return c == oldest })
 		oldest.netConn.Close()
-		oldest.once.Do(func() {
-			p.open--
-			p.untrack(oldest)
-		})
+		oldest.once.Do(func() { p.open-- })
 	}
 	p.open++
 	return true
@@ -122,14 +117,6 @@
 	p.mu.Unlock()
 }
 
-// releaseConn ends the count of a connection that is closed.
-func (p *Pool) releaseConn(c *ClientConn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.open--
-	p.untrack(c)
-}
-
 // takeIdle removes and returns the connection that has been idle shortest of those idle for MinIdleTime; nil = there is none. The
 // connections of an address are in the order in which they were put back.
 func (p *Pool) takeIdle(addr string) *ClientConn {
--- a/internal/node/staterelease.go
+++ b/internal/node/staterelease.go
@@ -56,15 +56,15 @@
 		"held_s", now-command.HeldSince, "attempts_in_flight", attempts)
 }
 
-// checkHeldState has the request table look at a state whose limit is near, and tells it how far the requests of its attempts have come.
+// checkHeldState has the request table look at a state whose limit is near, and tells it which attempts have left this machine.
 func (n *Node) checkHeldState(now float64, check requesttable.CheckHeldState) {
-	deliveries := requesttable.Deliveries{}
+	delivered := requesttable.Deliveries{}
 	if request := n.owned.requests[check.ID]; request != nil {
 		for number, attempt := range request.attempts {
-			deliveries[number] = attempt.Delivery()
+			delivered[number] = attempt.Delivered()
 		}
 	}
-	n.table().HeldStateDue(now, check, deliveries)
+	n.table().HeldStateDue(now, check, delivered)
 }
 
 // retryRelease makes a call later than its command, unless the call would release a state that is needed now.
--- a/internal/protocol/attemptcontrol.go
+++ b/internal/protocol/attemptcontrol.go
@@ -9,7 +9,6 @@
 
 	"dillroute/internal/decide/outcome"
 	"dillroute/internal/decide/permit"
-	"dillroute/internal/decide/staterelease"
 	"dillroute/internal/http1"
 )
 
@@ -20,9 +19,8 @@
 	conn           *http1.ClientConn
 	cancelDial     context.CancelFunc // cancels the dial that runs; nil = none runs
 	canceled       bool
-	requestWritten bool      // the first byte is about to be written, or was
-	attachedAt     time.Time // when that was
-	clientStreams  bool      // the response streams to the client
+	requestWritten bool // the first byte is about to be written, or was
+	clientStreams  bool // the response streams to the client
 	cause          outcome.Cause
 }
 
@@ -75,21 +73,12 @@
 	}
 }
 
-// responseTransit is a few times the transit time of a response: what the peer sent earlier may have left it before the request came.
-const responseTransit = 50 * time.Millisecond
-
-// Delivery tells how far the request has come on its way to the engine, as far as can be seen: one that waits for a connection, or in the
-// kernel's send buffer, has not been sent.
-func (control *AttemptControl) Delivery() staterelease.Delivery {
+// Delivered tells whether the request has reached its engine, as far as can be seen: one that waits for a connection, or in the kernel's
+// send buffer, has not.
+func (control *AttemptControl) Delivered() bool {
 	control.mu.Lock()
 	defer control.mu.Unlock()
-	switch {
-	case !control.requestWritten || control.conn != nil && !control.conn.Delivered():
-		return staterelease.NotSent
-	case control.conn != nil && control.conn.PeerActiveSince(control.attachedAt.Add(responseTransit)):
-		return staterelease.Confirmed
-	}
-	return staterelease.Unconfirmed
+	return control.requestWritten && (control.conn == nil || control.conn.Delivered())
 }
 
 // CancelIfUnsent ends the attempt if no byte of it has been written.
@@ -110,7 +99,6 @@
 	control.mu.Lock()
 	defer control.mu.Unlock()
 	control.conn, control.requestWritten = conn, !control.canceled
-	control.attachedAt = time.Now()
 	return !control.canceled
 }
 
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"dillroute/internal/decide/outcome"
-	"dillroute/internal/decide/staterelease"
 	"dillroute/internal/http1"
 	"dillroute/scheduler"
 )
@@ -73,8 +72,8 @@
 	Cancel(cause outcome.Cause)
 	// CancelIfUnsent ends the attempt if no byte of it was written.
 	CancelIfUnsent()
-	// Delivery tells how far the request has come on its way to the engine, as far as can be seen.
-	Delivery() staterelease.Delivery
+	// Delivered tells whether the request has reached the engine, as far as can be seen.
+	Delivered() bool
 }
 
 // AttemptObserver is notified by an attempt while it runs.
