--- a/internal/decide/requesttable/commands.go
+++ b/internal/decide/requesttable/commands.go
@@ -45,6 +45,8 @@
 	// AttemptCutAt is when that attempt was cut (s): its engine may hold a state now, or only later. 0 = the state is held.
 	AttemptCutAt float64
 	HeldSince    float64 // when the limit on the time of the state began to run (s)
+	// Acknowledged says that an engine has acknowledged a call after the attempt was cut: only a prefill that it ended since may be held.
+	Acknowledged bool
 	// AtLimit says that the state was due, and is released whatever is in flight.
 	AtLimit bool
 }
--- a/internal/decide/requesttable/heldstate.go
+++ b/internal/decide/requesttable/heldstate.go
@@ -14,9 +14,11 @@
 // A prefill in flight is not released beside, though its response may be lost and its state held: such a call takes away what the engine
 // is still at work on. It is in flight by the rule until it ends.
 
-// holdsState reports whether an engine holds a state of the request, or may hold one whose release is owed.
+// holdsState reports whether an engine holds a state of the request, or may hold one whose release is owed. A release that is owed for
+// what a cut prefill may yet leave, though an engine has acknowledged one, is not worth the prefill in flight that it would end.
 func (r *requestRecord) holdsState() bool {
-	return r.state.isHeld() || r.owed.heldState != nil || r.owed.cutAttempt != nil
+	cut := r.owed.cutAttempt
+	return r.state.isHeld() || r.owed.heldState != nil || cut != nil && !cut.Acknowledged
 }
 
 // dueAt returns when the states that engines hold must be released.
@@ -114,6 +116,14 @@
 	}
 }
 
+// isDue reports whether a release may not wait any longer.
+func (t *Table) isDue(now float64, record *requestRecord, release ReleaseState) bool {
+	if release.Acknowledged || t.config.StateReleaseLimit <= 0 {
+		return false
+	}
+	return now >= t.dueAt(record, max(release.HeldSince, record.hold.lastResponse))
+}
+
 // ReleaseAllowed reports whether a release call may be made that comes later than its command. If the call would free a state that
 // is needed now, and the released one is not due, it returns false and the table owes the release: it issues the command again later.
 func (t *Table) ReleaseAllowed(now float64, release ReleaseState) bool {
@@ -124,13 +134,13 @@
 	request := permit.Release{
 		AttemptsInFlight: record.inFlight,
 		StateNeeded:      record.state.isHeld(),
-		Due:              t.config.StateReleaseLimit > 0 && now >= t.dueAt(record, max(release.HeldSince, record.hold.lastResponse)),
+		Due:              t.isDue(now, record, release),
 		Responding:       record.streamingAttempt() != nil,
 	}
 	if request.Reason() == permit.Allowed {
 		return true
 	}
-	if record.hold.start == 0 || release.HeldSince < record.hold.start {
+	if !release.Acknowledged && (record.hold.start == 0 || release.HeldSince < record.hold.start) {
 		record.hold.start = release.HeldSince
 	}
 	release.AtLimit = false
--- a/internal/decide/requesttable/heldstate_test.go
+++ b/internal/decide/requesttable/heldstate_test.go
@@ -173,6 +173,33 @@
 	}
 }
 
+// A release after a cut prefill does not end the prefill in flight, once a call has been acknowledged; before, it does at its limit.
+func TestReleaseAfterCutPrefillSparesThePrefillInFlight(t *testing.T) {
+	for _, acknowledged := range []bool{true, false} {
+		w := newHeldStateWorld(true, idempotent)
+		w.end(w.send("r0", true), writtenCancel)
+		if len(w.releases) != 1 || w.releases[0].AttemptCutAt == 0 {
+			t.Fatalf("got %+v, want one release of what was cut", w.releases)
+		}
+		release := w.releases[0]
+		release.Acknowledged = acknowledged
+		n := w.send("r1", true)
+		if w.table.ReleaseAllowed(w.now, release) {
+			t.Errorf("acknowledged %v: a call is allowed at once", acknowledged)
+		}
+		w.collect()
+		w.passTo(w.now + 3)
+		if atLimit := len(w.releases) - 1; (atLimit > 0) == acknowledged {
+			t.Errorf("acknowledged %v: %d releases beside the prefill", acknowledged, atLimit)
+		}
+		releases := len(w.releases)
+		w.end(n, writtenCancel)
+		if len(w.releases) == releases {
+			t.Errorf("acknowledged %v: nothing is released after the prefill", acknowledged)
+		}
+	}
+}
+
 // Only a response restarts the time of a state: a connection that breaks after the request was written shows no arrival.
 func TestTimeOfHeldStateRestartsAtResponsesAlone(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/decide/requesttable/releases.go
+++ b/internal/decide/requesttable/releases.go
@@ -71,6 +71,9 @@
 	case !t.config.ReleaseFreesAllStates:
 		t.issue(release)
 	case release.AttemptCutAt > 0:
+		if earlier := record.owed.cutAttempt; earlier != nil && !earlier.Acknowledged {
+			release.Acknowledged = false
+		}
 		record.owed.cutAttempt = &release
 	default:
 		record.owed.heldState = &release
--- a/internal/node/staterelease.go
+++ b/internal/node/staterelease.go
@@ -149,6 +149,10 @@
 // releaseRoundEnded records the result of a round and schedules the next one if one is needed.
 func (n *Node) releaseRoundEnded(now float64, release *stateRelease, result staterelease.CallResult) {
 	n.auditRelease(now, release, result)
+	if result == staterelease.Acknowledged {
+		release.command.HeldSince = now // what is left after this round has been held for no longer
+		release.command.Acknowledged = true
+	}
 	at, again := release.schedule.Next(now, result)
 	if !again {
 		n.owned.pendingReleases--
