An owed release that is due spares attempts that have not left the node

Such an attempt needs nothing of what is released: the release is made beside it. Only one that is to fetch the state is canceled.

--- a/internal/decide/requesttable/heldstate.go
+++ b/internal/decide/requesttable/heldstate.go
@@ -68,7 +68,7 @@
 
 // enforceLimit does what is due about held states.
 func (t *Table) enforceLimit(now float64, id string, record *requestRecord, delivered Deliveries) {
-	switch staterelease.AtLimit(record.progress(delivered)) {
+	switch staterelease.AtLimit(record.progress(delivered), record.state.isHeld()) {
 	case staterelease.Wait:
 		record.hold.start = now
 	case staterelease.Cancel:
--- a/internal/decide/requesttable/heldstate_test.go
+++ b/internal/decide/requesttable/heldstate_test.go
@@ -200,6 +200,19 @@
 	}
 }
 
+// A release that is owed does not cancel an attempt that has not left this machine: the attempt needs nothing of what is released.
+func TestOwedReleaseSparesAttemptsOnTheirWay(t *testing.T) {
+	w := newHeldStateWorld(true, idempotent)
+	w.end(w.send("r0", true), writtenCancel)
+	w.send("w0", false)
+	w.table.ReleaseAllowed(w.now, w.releases[0]) // no call was acknowledged: it is owed
+	w.collect()
+	w.passTo(w.now + releaseLimit + 0.05)
+	if len(w.releases) != 2 || len(w.canceled) > 0 {
+		t.Errorf("got %+v, canceled %v, want one more release and nothing canceled", w.releases, w.canceled)
+	}
+}
+
 // Only a response restarts the time of a state: a connection that breaks after the request was written shows no arrival.
 func TestTimeOfHeldStateRestartsAtResponsesAlone(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/decide/staterelease/limit.go
+++ b/internal/decide/staterelease/limit.go
@@ -43,16 +43,16 @@
 	return "unknown"
 }
 
-// AtLimit returns what is done when a state is due. It asks neither for the class of the request nor for what the scheduler may do
-// about it: whoever else could have used the state in time has not.
+// AtLimit returns what is done when a state is due; fetchable says that an attempt in flight may be there to fetch it. It asks neither
+// for the class of the request nor for what the scheduler may do about it: whoever else could have used the state in time has not.
 //
 // A silent attempt may have reached its engine, which is slow; its state is released all the same. Whether the engine was heard of, over
 // what connection and in what order were tried as proof of arrival, and told nothing (docs/incidents/held-states-2026-12.md).
-func AtLimit(progress Progress) Action {
-	switch progress {
-	case Responding:
+func AtLimit(progress Progress, fetchable bool) Action {
+	switch {
+	case progress == Responding:
 		return Wait
-	case NotDelivered:
+	case progress == NotDelivered && fetchable:
 		return Cancel
 	}
 	return Release
--- a/internal/decide/staterelease/staterelease_test.go
+++ b/internal/decide/staterelease/staterelease_test.go
@@ -191,16 +191,21 @@
 // Once a state is due something is done about it, unless a response streams; whatever is canceled is released at the next look.
 func TestEveryDueStateHasAnAction(t *testing.T) {
 	for _, c := range []struct {
-		progress Progress
-		want     Action
+		progress  Progress
+		fetchable bool
+		want      Action
 	}{
-		{NoneInFlight, Release},
-		{NotDelivered, Cancel},
-		{Silent, Release},
-		{Responding, Wait},
+		{NoneInFlight, true, Release},
+		{NotDelivered, true, Cancel},
+		{Silent, true, Release},
+		{Responding, true, Wait},
+		{NoneInFlight, false, Release},
+		{NotDelivered, false, Release}, // the attempt needs nothing of what is released
+		{Silent, false, Release},
+		{Responding, false, Wait},
 	} {
-		if got := AtLimit(c.progress); got != c.want {
-			t.Errorf("progress %d: got %v, want %v", c.progress, got, c.want)
+		if got := AtLimit(c.progress, c.fetchable); got != c.want {
+			t.Errorf("progress %d, fetchable %v: got %v, want %v", c.progress, c.fetchable, got, c.want)
 		}
 	}
 }
