--- a/internal/node/chat_test.go
+++ b/internal/node/chat_test.go
@@ -329,3 +329,42 @@
 		t.Fatalf("got %v, want model_not_found", err)
 	}
 }
+
+// The state of an attempt that its decode engine never answers is released in time, whatever the class, while the client still waits.
+func TestChatStateOfSilentAttemptIsReleasedInTime(t *testing.T) {
+	h := newChatHarness(t, emulators(1, 1, 0, nil), nil)
+	h.fleet.Engine("decode-1").SetFaults(emulator.Faults{Silent: true})
+	for _, class := range []string{"chat", "commit"} {
+		request := h.newRequest(class, 5)
+		request.Patience = 10 * time.Second
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			h.client.Do(ctx, "node-0", h.node.Addr().String(), request)
+		}()
+		operation := request.Mark.Operation
+		h.eventually("the state is released", func() bool {
+			return h.countRecords(record.StateReserved, operation) > 0 && h.heldFor(operation) > 0
+		})
+		if held := h.heldFor(operation); held > 1.3 {
+			t.Errorf("%s: the state was held for %.2f s, want at most the limit of 1 s and 0.3 s", class, held)
+		}
+		cancel()
+		<-ended
+	}
+}
+
+// heldFor returns for how long the first state of an operation was held (s); 0 = it still is, or there was none.
+func (h *chatHarness) heldFor(op string) float64 {
+	reserved := record.Record{}
+	for _, r := range h.log.All() {
+		switch {
+		case r.Kind == record.StateReserved && r.Op == op && reserved.State == "":
+			reserved = r
+		case r.Kind == record.StateEnded && reserved.State != "" && r.State == reserved.State:
+			return r.T - reserved.T
+		}
+	}
+	return 0
+}
