--- a/internal/node/chat_test.go
+++ b/internal/node/chat_test.go
@@ -347,8 +347,8 @@
 		h.eventually("the state is released", func() bool {
 			return h.countRecords(record.StateReserved, operation) > 0 && h.heldFor(operation) > 0
 		})
-		if held := h.heldFor(operation); held > 1.3 {
-			t.Errorf("%s: the state was held for %.2f s, want at most the limit of 1 s and 0.3 s", class, held)
+		if seconds := h.heldFor(operation); seconds > 1.3 {
+			t.Errorf("%s: the state was held for %.2f s, want at most the limit of 1 s and 0.3 s", class, seconds)
 		}
 		cancel()
 		<-ended
