--- a/review/stand/case_comment.go
+++ b/review/stand/case_comment.go
@@ -31,8 +31,10 @@
 	if err != nil {
 		return nil, err
 	}
+	s := settings()
+	s["family_info"].(map[string]any)["resume"] = false // clients do not ask for the rest of a stream
 	known, _, _ := d.since(-1)
-	if err := w.startNode(settings(), d.address, known); err != nil {
+	if err := w.startNode(s, d.address, known); err != nil {
 		return nil, err
 	}
 	c := newClients(w)
