Platform stand-in: engines restart with another role before the list says so

The stand-in's engines kept one role for life, so no test could see a run at an engine whose role the list has wrong.

Change: Engine.RestartAs ends an engine and starts it at the same address with another role; its states are lost, as those of an ended process are.

--- a/lab/platform/discovery.go
+++ b/lab/platform/discovery.go
@@ -64,7 +64,7 @@
 		update:    make(chan struct{}),
 	}
 	for _, e := range engines {
-		d.endpoints[e.ID] = Endpoint{ID: e.ID, Address: e.Address(), Zone: "z", Kind: e.Role, State: "up", Weight: 1}
+		d.endpoints[e.ID] = Endpoint{ID: e.ID, Address: e.Address(), Zone: "z", Kind: e.Role(), State: "up", Weight: 1}
 	}
 	d.Listen()
 	return d
--- a/lab/platform/engine.go
+++ b/lab/platform/engine.go
@@ -18,13 +18,14 @@
 // Engine is an emulated engine on a loopback socket.
 type Engine struct {
 	ID            string
-	Role          string        // read, write or both
 	TokenInterval time.Duration // between two events of a stream
 	PrefillTime   time.Duration // of one prompt
+	LocalPrefill  bool          // as an engine that decodes, it prefills a request without a state itself
 
 	platform *Platform
 
 	mu               sync.Mutex // guards the fields below
+	role             string     // read, write or both
 	address          string
 	listener         net.Listener
 	conns            map[net.Conn]bool
@@ -38,8 +39,9 @@
 	streamsCompleted int
 }
 
-func (e *Engine) listen() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// listen starts the engine at an address.
+func (e *Engine) listen(address string) error {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
@@ -60,6 +62,26 @@
 	return e.address
 }
 
+// Role returns the role of the engine: read, write or both.
+func (e *Engine) Role() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.role
+}
+
+// RestartAs ends the engine like Stop, and starts it again at the same address with another role. The endpoint list is not changed. Faults
+// that are queued, and the states that the engine holds, are lost.
+func (e *Engine) RestartAs(role string) error {
+	e.Stop()
+	e.platform.dropStates(e.ID)
+	e.mu.Lock()
+	e.role = role
+	e.faults = nil
+	address := e.address
+	e.mu.Unlock()
+	return e.listen(address)
+}
+
 // StreamsStarted returns the number of streams that have begun.
 func (e *Engine) StreamsStarted() int {
 	e.mu.Lock()
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -72,14 +72,14 @@
 func (p *Platform) StartEngine(id, role string) *Engine {
 	e := &Engine{
 		ID:            id,
-		Role:          role,
+		role:          role,
 		TokenInterval: defaultTokenInterval,
 		PrefillTime:   defaultPrefillTime,
 		platform:      p,
 		conns:         map[net.Conn]bool{},
 		attemptsLost:  make(chan struct{}),
 	}
-	if err := e.listen(); err != nil {
+	if err := e.listen("127.0.0.1:0"); err != nil {
 		panic(err) // no loopback port is available: no test can run
 	}
 	p.mu.Lock()
--- a/lab/platform/state.go
+++ b/lab/platform/state.go
@@ -64,6 +64,26 @@
 	}
 }
 
+// dropStates ends the states that an engine stores, because its process has ended.
+func (p *Platform) dropStates(engine string) {
+	p.mu.Lock()
+	var calls []string
+	for call, engines := range p.states {
+		if !engines[engine] {
+			continue
+		}
+		calls = append(calls, call)
+		delete(engines, engine)
+		if len(engines) == 0 {
+			delete(p.states, call)
+		}
+	}
+	p.mu.Unlock()
+	for _, call := range calls {
+		p.Log.Add(record.Record{Kind: record.StateEnded, Engine: engine, State: stateID(call, engine), Note: "lost"})
+	}
+}
+
 // stateHolder returns an engine that stores a reserved state for a call; "" if there is none.
 func (p *Platform) stateHolder(call string) string {
 	p.mu.Lock()
