Take what an attempt may have done from its bytes, not from the role in the list

Change: Classify goes by the bytes of the attempt. A stream in response to a prefill is the response of the request: it is granted, passed on and ends the request. A prefill that ends without a response that says what became of it may have run, unless an earlier exchange on the same connection was a finished prefill: a process keeps its role, and its connections end with it. The table's answer reaches the scheduler as Outcome.Effect, so that all three go by one. A prefill of an at-most-once request is canceled only if its end will prove that nothing ran.

A test is replaced: TestStatusAndPossibleEffectAgree held that no prefill has an effect, which is the fault. It now holds this for a prefill at a process that has prefilled before, and requires the contrary of all others. The property test of the table counts every attempt as a possible effect and draws the new evidence.

--- a/internal/decide/outcome/classify.go
+++ b/internal/decide/outcome/classify.go
@@ -23,22 +23,29 @@
 	} else {
 		class.Status = statusWithoutResponse(evidence)
 	}
+	class.MayHaveRun = mayHaveRun(evidence)
 	if evidence.Stage == Prefill {
-		class.MayHaveRun = false // a prefill has no effect
 		class.MayHoldState = evidence.Progress >= RequestWritten && class.Status != scheduler.Prefilled &&
 			class.Status != scheduler.Rejected && !class.PassThrough
-		return class
-	}
-	if !class.PassThrough && !statusProvesNotRun(class.Status) {
-		class.MayHaveRun = true
 	}
 	return class
 }
 
+// mayHaveRun reports whether a request may have had an effect at the engine of an attempt. A prefill has none, but the stage of the attempt
+// does not prove that the engine prefilled: it follows from the endpoint list, which learns late that an engine has changed its role.
+func mayHaveRun(evidence Evidence) bool {
+	switch {
+	case ProvesNotRun(evidence):
+		return false
+	case evidence.Stage == Prefill && evidence.PrefillProcess:
+		return evidence.DecodeHeader
+	}
+	return true
+}
+
 // ProvesNotRun reports whether the bytes of an attempt prove that it has not run at its engine: its request was not written
 // completely, or the engine responded that the prefill is done or that the request did not run. Unlike
-// Classification.MayHaveRun it does not accept the role of an engine as proof: a prefill engine does not run requests, but
-// without the response of a prefill engine another engine may have been reached.
+// Classification.MayHaveRun it does not accept earlier responses of a prefill engine as proof.
 func ProvesNotRun(evidence Evidence) bool {
 	if evidence.Cause != ResponseComplete {
 		return evidence.Progress < RequestWritten
@@ -58,15 +65,6 @@
 	return evidence.Progress == RequestWritten && (evidence.Cause == CanceledByScheduler || evidence.Cause == AttemptTimedOut)
 }
 
-// statusProvesNotRun reports whether a status proves that the request never ran.
-func statusProvesNotRun(status scheduler.Status) bool {
-	switch status {
-	case scheduler.Rejected, scheduler.ConnectFailed, scheduler.NotSent, scheduler.Prefilled:
-		return true
-	}
-	return false
-}
-
 // statusWithoutResponse returns the status of an attempt without a complete response.
 func statusWithoutResponse(evidence Evidence) scheduler.Status {
 	if evidence.Progress < RequestWritten { // the engine cannot have received the complete request
@@ -91,7 +89,7 @@
 	switch evidence.ResponseKind {
 	case DecodeDone:
 		if evidence.Stage == Decode {
-			return Classification{Status: scheduler.Completed, MayHaveRun: true, Info: evidence.CachedTokens}
+			return Classification{Status: scheduler.Completed, Info: evidence.CachedTokens}
 		}
 	case PrefillDone:
 		if evidence.Stage == Prefill {
@@ -104,7 +102,7 @@
 	case InvalidRequest:
 		return classifyInvalidRequest(evidence)
 	}
-	return Classification{Status: scheduler.ServerError, MayHaveRun: evidence.Stage == Decode}
+	return Classification{Status: scheduler.ServerError}
 }
 
 // classifyInvalidRequest passes an engine's response that a request is invalid to the client once a second engine agrees, or
--- a/internal/decide/outcome/outcome.go
+++ b/internal/decide/outcome/outcome.go
@@ -93,6 +93,11 @@
 	ResponseKind ResponseKind // valid if Cause is ResponseComplete
 	Code         int          // distinguishes responses of the kind InvalidRequest from each other
 	CachedTokens int          // prompt tokens that the engine had cached
+	// PrefillProcess means that an earlier exchange on the same connection was a completed prefill. The process at the other end is
+	// therefore a prefill engine: a process keeps its role, and its connections end with it.
+	PrefillProcess bool
+	// DecodeHeader means that the header of the response is one with which only an engine that runs the request responds.
+	DecodeHeader bool
 	// ConfirmedElsewhere means that another engine has called the same request invalid with the same code.
 	ConfirmedElsewhere bool
 	// LastAttempt means that the request can have no further attempt.
--- a/internal/decide/outcome/outcome_test.go
+++ b/internal/decide/outcome/outcome_test.go
@@ -76,11 +76,17 @@
 		Evidence{Stage: Decode, Progress: HeaderReceived, Cause: ResponseComplete, ResponseKind: EngineError},
 		Classification{Status: scheduler.ServerError, MayHaveRun: true}},
 	{"prefill response to a decode attempt",
-		Evidence{Stage: Decode, Progress: HeaderReceived, Cause: ResponseComplete, ResponseKind: PrefillDone},
+		Evidence{Stage: Decode, Progress: HeaderReceived, Cause: ResponseComplete, ResponseKind: PrefillDone, CachedTokens: 7},
 		Classification{Status: scheduler.ServerError, MayHaveRun: true}},
 	{"decode response to a prefill attempt",
-		Evidence{Stage: Prefill, Progress: HeaderReceived, Cause: ResponseComplete, ResponseKind: DecodeDone},
-		Classification{Status: scheduler.ServerError, MayHoldState: true}},
+		Evidence{Stage: Prefill, Progress: HeaderReceived, Cause: ResponseComplete, ResponseKind: DecodeDone, DecodeHeader: true},
+		Classification{Status: scheduler.ServerError, MayHaveRun: true, MayHoldState: true}},
+	{"decode response to a prefill attempt, broken",
+		Evidence{Stage: Prefill, Progress: HeaderReceived, Cause: ConnectionBroken, DecodeHeader: true},
+		Classification{Status: scheduler.ConnectionLost, MayHaveRun: true, MayHoldState: true}},
+	{"decode response to a prefill attempt at a process that has prefilled before",
+		Evidence{Stage: Prefill, Progress: HeaderReceived, Cause: MalformedResponse, PrefillProcess: true, DecodeHeader: true},
+		Classification{Status: scheduler.ServerError, MayHaveRun: true, MayHoldState: true}},
 	{"invalid request, unconfirmed",
 		Evidence{Stage: Decode, Progress: HeaderReceived, Cause: ResponseComplete, ResponseKind: InvalidRequest, Code: 400},
 		Classification{Status: scheduler.Rejected}},
@@ -97,16 +103,22 @@
 		Classification{Status: scheduler.Prefilled, Info: 7}},
 	{"prefill, engine error",
 		Evidence{Stage: Prefill, Progress: HeaderReceived, Cause: ResponseComplete},
+		Classification{Status: scheduler.ServerError, MayHaveRun: true, MayHoldState: true}},
+	{"prefill, engine error of a process that has prefilled before",
+		Evidence{Stage: Prefill, Progress: HeaderReceived, Cause: ResponseComplete, PrefillProcess: true},
 		Classification{Status: scheduler.ServerError, MayHoldState: true}},
 	{"prefill, connection broken",
 		Evidence{Stage: Prefill, Progress: RequestWritten, Cause: ConnectionBroken},
+		Classification{Status: scheduler.ConnectionLost, MayHaveRun: true, MayHoldState: true}},
+	{"prefill, connection broken on which a prefill was completed before",
+		Evidence{Stage: Prefill, Progress: RequestWritten, Cause: ConnectionBroken, PrefillProcess: true},
 		Classification{Status: scheduler.ConnectionLost, MayHoldState: true}},
 	{"prefill, request not written",
 		Evidence{Stage: Prefill, Progress: Connected, Cause: ConnectionBroken},
 		Classification{Status: scheduler.ConnectFailed}},
 	{"prefill canceled",
 		Evidence{Stage: Prefill, Progress: RequestWritten, Cause: CanceledByScheduler},
-		Classification{Status: scheduler.Canceled, MayHoldState: true}},
+		Classification{Status: scheduler.Canceled, MayHaveRun: true, MayHoldState: true}},
 	{"prefill rejected",
 		Evidence{Stage: Prefill, Progress: HeaderReceived, Cause: ResponseComplete, ResponseKind: EngineRejected},
 		Classification{Status: scheduler.Rejected}},
@@ -126,25 +138,41 @@
 		for progress := NotStarted; progress <= Streaming; progress++ {
 			for cause := ResponseComplete; cause <= ClientDisconnected; cause++ {
 				for kind := EngineError; kind <= InvalidRequest; kind++ {
-					check(Evidence{Stage: stage, Progress: progress, Cause: cause, ResponseKind: kind})
+					for _, prefillProcess := range []bool{false, true} {
+						for _, decodeHeader := range []bool{false, true} {
+							check(Evidence{Stage: stage, Progress: progress, Cause: cause, ResponseKind: kind,
+								PrefillProcess: prefillProcess, DecodeHeader: decodeHeader})
+						}
+					}
 				}
 			}
 		}
 	}
 }
 
-// For all evidence, MayHaveRun and the status do not contradict each other, and a prefill has no effect.
+// statusProvesNotRun reports whether a status proves that the request never ran (package scheduler, Status).
+func statusProvesNotRun(status scheduler.Status) bool {
+	switch status {
+	case scheduler.Rejected, scheduler.ConnectFailed, scheduler.NotSent, scheduler.Prefilled:
+		return true
+	}
+	return false
+}
+
+// A request that ran at an engine that was listed as a prefill engine must not be sent again. For all evidence, MayHaveRun and the status
+// do not contradict each other, and the stage of an attempt alone proves nothing.
 func TestStatusAndPossibleEffectAgree(t *testing.T) {
 	everyEvidence(func(evidence Evidence) {
 		class := Classify(evidence)
-		if evidence.Stage == Prefill && class.MayHaveRun {
-			t.Fatalf("%+v: got MayHaveRun for a prefill, which has no effect", evidence)
+		prefillProcess := evidence.Stage == Prefill && evidence.PrefillProcess && !evidence.DecodeHeader
+		if prefillProcess && class.MayHaveRun {
+			t.Fatalf("%+v: got MayHaveRun for a prefill at a prefill engine, which has no effect", evidence)
 		}
 		if class.MayHaveRun && statusProvesNotRun(class.Status) {
 			t.Fatalf("%+v: got MayHaveRun with the status %v, which proves the contrary", evidence, class.Status)
 		}
 		written := evidence.Cause != ResponseComplete && evidence.Progress >= RequestWritten
-		if written && evidence.Stage == Decode && !class.MayHaveRun {
+		if written && !prefillProcess && !class.MayHaveRun {
 			t.Fatalf("%+v: got no MayHaveRun for a request that was written completely", evidence)
 		}
 	})
--- a/internal/decide/requesttable/attempts.go
+++ b/internal/decide/requesttable/attempts.go
@@ -25,6 +25,7 @@
 			Attempt:      next.number,
 			Engine:       action.Engine,
 			Status:       scheduler.NotSent,
+			Effect:       scheduler.EffectExcluded,
 			RequestEnded: record.response.ended(),
 		})
 		return
@@ -114,15 +115,30 @@
 }
 
 // cancel cancels an attempt that has not begun to stream. A request that has ended since the scheduler decided to cancel is
-// ignored.
+// ignored. A prefill of a request that must not be repeated is canceled only if the request can still be sent elsewhere afterwards.
 func (t *Table) cancel(id string, number int) {
 	record := t.records[id]
 	if record == nil {
 		return
 	}
-	if a := record.attempt(number); a != nil && a.state == attemptRunning {
-		a.markCanceling()
-		t.issue(CancelAttempt{ID: id, Attempt: number, Cause: outcome.CanceledByScheduler})
+	a := record.attempt(number)
+	if a == nil || a.state != attemptRunning {
+		return
+	}
+	if a.stage == outcome.Prefill && record.class.Effect == scheduler.AtMostOnce && record.response.open() {
+		t.issue(CancelAttempt{ID: id, Attempt: number, Cause: outcome.CanceledByScheduler, OnlyIfNotRun: true})
+		return
+	}
+	a.markCanceling()
+	t.issue(CancelAttempt{ID: id, Attempt: number, Cause: outcome.CanceledByScheduler})
+}
+
+// AttemptCanceled reports that the host has carried out a CancelAttempt with OnlyIfNotRun.
+func (t *Table) AttemptCanceled(id string, number int) {
+	if record := t.records[id]; record != nil {
+		if a := record.attempt(number); a != nil && a.isInFlight() {
+			a.markCanceling()
+		}
 	}
 }
 
@@ -155,7 +171,9 @@
 	record.lastUnanswered = UnansweredAttempt{}
 	record.clearReleaseDuringDecode() // the earlier release freed nothing, and the state has been fetched
 	a.state = attemptStreaming
-	if record.state.isHeld() && !a.fetches(record.state) { // the engine computed the prefill itself
+	a.stage = outcome.Decode // also if the endpoint list names the engine as a prefill engine
+	if record.state.isHeld() && !a.fetches(record.state) {
+		// The engine computed the prefill itself.
 		t.releaseHeldState(id, record)
 	}
 	record.state.clear() // if it was not released here, the attempt has fetched it and the prefill engine has freed it
@@ -195,6 +213,7 @@
 		Engine:       a.engine,
 		Status:       class.Status,
 		Info:         class.Info,
+		Effect:       effectOf(class),
 		Spent:        now - a.sentAt,
 		RequestEnded: endsRequest || record.response.ended(),
 		Report:       report,
@@ -209,6 +228,14 @@
 	t.scheduleStateCheck(now, id, record)
 }
 
+// effectOf returns what the scheduler is told about the effect of an attempt.
+func effectOf(class outcome.Classification) scheduler.EffectEvidence {
+	if class.MayHaveRun {
+		return scheduler.EffectPossible
+	}
+	return scheduler.EffectExcluded
+}
+
 // endedUnanswered reports whether an attempt may have reached its engine and ended without a complete response or a first token.
 func endedUnanswered(evidence outcome.Evidence) bool {
 	written := evidence.Progress >= outcome.RequestWritten && evidence.Progress < outcome.Streaming
--- a/internal/decide/requesttable/attempts_test.go
+++ b/internal/decide/requesttable/attempts_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"testing"
 
+	"dillroute/internal/decide/outcome"
 	"dillroute/scheduler"
 )
 
@@ -183,3 +184,116 @@
 		t.Fatalf("got %v, want an AuditError about request a", err)
 	}
 }
+
+// A request that ran at an engine that the list still called a prefill engine ran again at a second engine. No end of an attempt may allow
+// a repeat or a promise of a safe retry because of the role that the list names.
+func TestAtMostOnceIsNotRepeatedAfterPrefillAtEngineOfUnknownRole(t *testing.T) {
+	header := outcome.Evidence{Progress: outcome.HeaderReceived, Cause: outcome.MalformedResponse, DecodeHeader: true}
+	headerAfterPrefill := header
+	headerAfterPrefill.PrefillProcess = true
+	for name, evidence := range map[string]outcome.Evidence{
+		"connection broken":     writtenBroken,
+		"timed out":             writtenTimeout,
+		"canceled":              writtenCancel,
+		"engine error":          engineError,
+		"header of a stream":    header,
+		"after another prefill": headerAfterPrefill,
+	} {
+		table := newTable()
+		table.AddRequest(1, newRequest("a", atMostOnce), 0)
+		n := startAttempt(t, table, 1, "a", "r0")
+		table.Drain()
+		table.AttemptEnded(1.1, "a", n, evidence, nil)
+		events, _ := table.Drain()
+		if got := events[0].(scheduler.Outcome).Effect; got != scheduler.EffectPossible {
+			t.Errorf("%s: got the evidence %v for the scheduler, want %v", name, got, scheduler.EffectPossible)
+		}
+		table.Apply(1.2, scheduler.Send{ID: "a", Engine: "r1"})
+		if starts := commandsOf[StartAttempt](table); len(starts) != 0 {
+			t.Errorf("%s: got the repeat %v, want none", name, starts)
+		}
+		table.Apply(1.3, scheduler.Reject{ID: "a"})
+		for _, response := range commandsOf[Respond](table) {
+			if response.Response.RetryIsSafe {
+				t.Errorf("%s: got %+v, which promises a safe retry", name, response)
+			}
+		}
+	}
+}
+
+// A connection that breaks under a prefill must not cost the request its retry if an earlier prefill on it proves what the engine is.
+func TestAtMostOnceIsRepeatedAfterPrefillAtProcessThatPrefilledBefore(t *testing.T) {
+	for name, evidence := range map[string]outcome.Evidence{
+		"connection broken": writtenBroken,
+		"timed out":         writtenTimeout,
+		"canceled":          writtenCancel,
+		"engine error":      engineError,
+	} {
+		table := newTable()
+		table.AddRequest(1, newRequest("a", atMostOnce), 0)
+		n := startAttempt(t, table, 1, "a", "r0")
+		evidence.PrefillProcess = true
+		table.AttemptEnded(1.1, "a", n, evidence, nil)
+		table.DrainCommands()
+		table.Apply(1.2, scheduler.Send{ID: "a", Engine: "r1"})
+		if starts := commandsOf[StartAttempt](table); len(starts) != 1 {
+			t.Errorf("%s: got the attempts %v, want one", name, starts)
+		}
+	}
+}
+
+// A prefill that the scheduler cancels proves nothing if its engine may have become one that runs the request. The host must leave such an
+// attempt of an at-most-once request alone, and the attempt may still respond.
+func TestCancellationOfPrefillIsLeftToHostForAtMostOnce(t *testing.T) {
+	for class, onlyIfNotRun := range map[int]bool{idempotent: false, atMostOnce: true, keyedInCell: false} {
+		table := newTable()
+		table.AddRequest(1, newRequest("a", class), 0)
+		n := startAttempt(t, table, 1, "a", "r0")
+		table.Apply(1.1, scheduler.Cancel{ID: "a", Attempt: n})
+		cancels := commandsOf[CancelAttempt](table)
+		if len(cancels) != 1 || cancels[0].OnlyIfNotRun != onlyIfNotRun {
+			t.Fatalf("class %d: got %+v, want one with OnlyIfNotRun %v", class, cancels, onlyIfNotRun)
+		}
+		table.FirstToken(1.2, "a", n)
+		grants := commandsOf[GrantResponse](table)
+		if len(grants) != 1 || grants[0].Granted != onlyIfNotRun {
+			t.Errorf("class %d: got %+v after the cancellation, want one with Granted %v", class, grants, onlyIfNotRun)
+		}
+	}
+	table := newTable()
+	table.AddRequest(1, newRequest("a", atMostOnce), 0)
+	n := startAttempt(t, table, 1, "a", "r0")
+	table.Apply(1.1, scheduler.Cancel{ID: "a", Attempt: n})
+	table.AttemptCanceled("a", n)
+	table.DrainCommands()
+	table.FirstToken(1.2, "a", n)
+	if grants := commandsOf[GrantResponse](table); len(grants) != 1 || grants[0].Granted {
+		t.Errorf("got %+v after the host has canceled the attempt, want no grant", grants)
+	}
+}
+
+// A stream that answers a prefill is the response of the request: it is granted like that of a decode attempt, ends the request, and leaves
+// nothing to release.
+func TestStreamInResponseToPrefillIsGranted(t *testing.T) {
+	table := newTable()
+	table.AddRequest(1, newRequest("a", atMostOnce), 0)
+	n := startAttempt(t, table, 1, "a", "r0")
+	table.Drain()
+	table.FirstToken(1.1, "a", n)
+	if grants := commandsOf[GrantResponse](table); len(grants) != 1 || !grants[0].Granted {
+		t.Fatalf("got %+v, want one grant", grants)
+	}
+	done := complete(outcome.DecodeDone)
+	done.DecodeHeader = true
+	table.AttemptEnded(1.2, "a", n, done, nil)
+	events, commands := table.Drain()
+	for _, command := range commands {
+		if _, ok := command.(ForgetRequest); !ok {
+			t.Errorf("got %+v after the end of the stream, want the request to be forgotten", command)
+		}
+	}
+	ended := events[len(events)-1].(scheduler.Outcome)
+	if ended.Status != scheduler.Completed || !ended.RequestEnded {
+		t.Errorf("got %+v, want a completed request", ended)
+	}
+}
--- a/internal/decide/requesttable/commands.go
+++ b/internal/decide/requesttable/commands.go
@@ -26,6 +26,9 @@
 	ID      string
 	Attempt int
 	Cause   outcome.Cause
+	// OnlyIfNotRun means that the attempt is left alone unless its end will prove that the request has not run. The host reports a
+	// cancellation with Table.AttemptCanceled.
+	OnlyIfNotRun bool
 }
 
 // GrantResponse decides whether an attempt may write to the client. If Granted, the attempt is the only writer; otherwise it
--- a/internal/decide/requesttable/property_test.go
+++ b/internal/decide/requesttable/property_test.go
@@ -33,7 +33,7 @@
 	responses       int          // final responses given to the client
 	grants          int
 	grantedAttempt  int
-	possibleEffects int // decode attempts that may have run
+	possibleEffects int // attempts that may have run
 	disconnected    bool
 }
 
@@ -98,12 +98,10 @@
 	if request.responses > 0 || request.disconnected {
 		h.t.Fatalf("%s is sent to %s after the request has ended", c.ID, c.Engine)
 	}
-	if c.Stage == outcome.Decode {
-		if classes()[request.class].Effect == scheduler.AtMostOnce && request.possibleEffects > 0 {
-			h.t.Fatalf("%s may run twice", c.ID)
-		}
-		request.possibleEffects++ // undone if the end of the attempt proves that it has not run
+	if classes()[request.class].Effect == scheduler.AtMostOnce && request.possibleEffects > 0 {
+		h.t.Fatalf("%s may run twice", c.ID)
 	}
+	request.possibleEffects++ // undone if the end of the attempt proves that it has not run
 	request.inFlight[c.Attempt] = c
 }
 
@@ -176,19 +174,26 @@
 		Stage:    start.Stage,
 		Cause:    outcome.Cause(rapid.IntRange(0, int(outcome.ClientDisconnected)).Draw(h.t, "cause")),
 		Progress: outcome.Progress(rapid.IntRange(int(outcome.Connecting), int(outcome.HeaderReceived)).Draw(h.t, "progress")),
+
+		PrefillProcess: rapid.Bool().Draw(h.t, "prefill process"),
 	}
+	evidence.DecodeHeader = evidence.Progress == outcome.HeaderReceived && rapid.Bool().Draw(h.t, "decode header")
 	if evidence.Cause != outcome.ResponseComplete {
 		return evidence
 	}
 	evidence.Progress = outcome.HeaderReceived
 	evidence.ResponseKind = outcome.ResponseKind(rapid.IntRange(int(outcome.EngineError), int(outcome.InvalidRequest)).Draw(h.t, "kind"))
-	granted := request.grants > 0 && request.grantedAttempt == start.Attempt
-	if !granted && evidence.ResponseKind == outcome.DecodeDone && start.Stage == outcome.Decode {
+	if !request.granted(start) && evidence.ResponseKind == outcome.DecodeDone {
 		evidence.ResponseKind = outcome.EngineRejected // a stream is never complete before its first token
 	}
 	return evidence
 }
 
+// granted reports whether the response was granted to an attempt.
+func (r *modelRequest) granted(start StartAttempt) bool {
+	return r.grants > 0 && r.grantedAttempt == start.Attempt
+}
+
 // endAttempt ends an attempt in flight.
 func (h *propertyHarness) endAttempt(id string) {
 	start, ok := h.drawInFlight(id)
@@ -197,12 +202,16 @@
 	}
 	request := h.requests[id]
 	evidence := h.drawEnd(request, start)
-	class := outcome.Classify(evidence)
-	streamed := start.Stage == outcome.Decode && class.Status == scheduler.Completed && !class.PassThrough
-	if start.Stage == outcome.Decode && !class.MayHaveRun && class.Status != scheduler.Completed {
+	known := evidence
+	if request.granted(start) {
+		known.Stage, known.Progress = outcome.Decode, outcome.Streaming
+	}
+	class := outcome.Classify(known)
+	streamed := known.Stage == outcome.Decode && class.Status == scheduler.Completed && !class.PassThrough
+	if !class.MayHaveRun && class.Status != scheduler.Completed {
 		request.possibleEffects--
 	}
-	if start.Stage == outcome.Prefill && (class.Status == scheduler.Prefilled || class.MayHoldState) {
+	if class.Status == scheduler.Prefilled || class.MayHoldState {
 		request.states[start.Attempt] = true
 	}
 	if start.Stage == outcome.Decode && start.FetchState && (class.Info == 1 || streamed) {
@@ -219,10 +228,10 @@
 	h.table.AttemptEnded(h.now, id, start.Attempt, evidence, nil)
 }
 
-// firstToken reports the first token of a decode attempt in flight.
+// firstToken reports the first token of an attempt in flight. It may be a prefill, whose engine has become one that decodes.
 func (h *propertyHarness) firstToken(id string) {
 	start, ok := h.drawInFlight(id)
-	if !ok || start.Stage != outcome.Decode {
+	if !ok {
 		return
 	}
 	request := h.requests[id]
--- a/internal/decide/requesttable/record.go
+++ b/internal/decide/requesttable/record.go
@@ -193,7 +193,7 @@
 		return r.effect
 	}
 	for i := range r.attempts {
-		if a := &r.attempts[i]; a.isInFlight() && a.stage == outcome.Decode {
+		if a := &r.attempts[i]; a.isInFlight() {
 			return &possibleEffect{engine: a.engine, sentAt: a.sentAt}
 		}
 	}
@@ -201,8 +201,7 @@
 }
 
 // provenNotRun reports whether the bytes of every attempt prove that it has not run: it has ended, and either its request was
-// not written completely or its engine responded that it did not run. The fact that a prefill has no effect is no such proof:
-// another engine may have been reached at the address, and without a response it is unknown which one was.
+// not written completely or its engine responded that it did not run. Earlier responses of its engine are no such proof.
 func (r *requestRecord) provenNotRun() bool {
 	return r.effect == nil && !r.evidence.notRunUnproven && r.inFlight == 0
 }
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -75,10 +75,18 @@
 	if conn == nil {
 		return result
 	}
-	body, ok := a.readCompleteResponse(conn, response, &result)
-	if !ok || result.HTTPStatus != 200 {
-		return result
-	}
+	result.Evidence.DecodeHeader = response.Status == 200 && isEventStream(response)
+	a.readCompleteResponse(conn, response, &result)
+	return result
+}
+
+// isEventStream reports whether the body of a response is a stream of server-sent events.
+func isEventStream(response *http1.Response) bool {
+	return strings.HasPrefix(strings.ToLower(response.Header.Get("Content-Type")), "text/event-stream")
+}
+
+// readPrefillResponse reads the state from the body of a response to a prefill. A response without a state is an engine error.
+func readPrefillResponse(body []byte, result *Result) {
 	var reply struct {
 		State json.RawMessage `json:"kv_transfer_params"`
 		Usage struct {
@@ -89,13 +97,12 @@
 	}
 	if err := json.Unmarshal(body, &reply); err != nil {
 		result.Err, result.Evidence.Cause = err, outcome.MalformedResponse
-		return result
+		return
 	}
 	result.State, result.Evidence.CachedTokens = reply.State, max(0, reply.Usage.Details.Cached)
-	if len(reply.State) > 0 && string(reply.State) != "null" { // a response without a state is an engine error
+	if len(reply.State) > 0 && string(reply.State) != "null" {
 		result.Evidence.ResponseKind = outcome.PrefillDone
 	}
-	return result
 }
 
 // Decode sends the request to a decode engine and streams the response to sink.
@@ -109,7 +116,7 @@
 		a.readCompleteResponse(conn, response, &result)
 		return result
 	}
-	if !strings.HasPrefix(strings.ToLower(response.Header.Get("Content-Type")), "text/event-stream") {
+	if !isEventStream(response) {
 		a.Detach()
 		conn.Close()
 		result.Evidence.Cause = outcome.MalformedResponse
--- a/internal/engine/responsekind.go
+++ b/internal/engine/responsekind.go
@@ -28,15 +28,20 @@
 	return outcome.EngineError
 }
 
-// readCompleteResponse reads a response that is not streamed. For an error it records body, status and kind in result.
-func (a *Attempt) readCompleteResponse(conn *http1.ClientConn, response *http1.Response, result *Result) ([]byte, bool) {
+// readCompleteResponse reads a response that is not streamed: that of a prefill, or an error, whose body, status and kind it records in
+// result.
+func (a *Attempt) readCompleteResponse(conn *http1.ClientConn, response *http1.Response, result *Result) {
 	body, err := response.ReadAll(maxResponse)
 	a.Detach()
 	if err != nil {
 		conn.Close()
 		result.Err, result.Evidence.Cause = err, a.CauseOf(err, outcome.AttemptTimedOut)
-		return nil, false
+		return
 	}
+	if response.Status == 200 {
+		readPrefillResponse(body, result)
+	}
+	conn.CompletedPrefill = conn.CompletedPrefill || result.Evidence.ResponseKind == outcome.PrefillDone
 	a.Client.Pool.PutAfter(conn, response)
 	if response.Status != 200 {
 		var e struct {
@@ -48,5 +53,4 @@
 		result.ErrorBody = body
 		result.Evidence.ResponseKind, result.Evidence.Code = responseKind(response.Status, e.Error.Code), response.Status
 	}
-	return body, true
 }
--- a/internal/http1/clientconn.go
+++ b/internal/http1/clientconn.go
@@ -30,6 +30,9 @@
 	readPastDeadline int // bytes read after finalDeadline
 	// Reused reports whether the connection carried an exchange before.
 	Reused bool
+	// CompletedPrefill reports whether an earlier exchange on the connection was a completed prefill. The user of the connection sets it
+	// before it puts the connection back into the pool.
+	CompletedPrefill bool
 	// IdleFor is how long the connection was idle before this use.
 	IdleFor time.Duration
 }
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -30,11 +30,15 @@
 	}
 	n.log.Debug("attempt started", "request", command.ID, "attempt", command.Attempt, "engine", command.Engine,
 		"stage", command.Stage.String(), "fetches_state", command.FetchState, "timeout_s", timeout)
-	observer := &attemptObserver{node: n, request: request, number: command.Attempt, engine: command.Engine, startedAt: now}
-	if command.Stage == outcome.Decode {
-		observer.grant = make(chan bool, 1)
-		request.responseGrants[command.Attempt] = observer.grant
+	observer := &attemptObserver{
+		node:      n,
+		request:   request,
+		number:    command.Attempt,
+		engine:    command.Engine,
+		startedAt: now,
+		grant:     make(chan bool, 1),
 	}
+	request.responseGrants[command.Attempt] = observer.grant
 	release := request.release
 	n.jobs.start(func() {
 		release.await()
@@ -100,8 +104,7 @@
 			halfClosed := result.FirstByteAt.IsZero()
 			n.table().ClientDisconnected(now, command.ID, halfClosed)
 		}
-		complete := evidence.Cause == outcome.ResponseComplete && evidence.ResponseKind == outcome.DecodeDone
-		if complete && command.Stage == outcome.Decode {
+		if evidence.Cause == outcome.ResponseComplete && evidence.ResponseKind == outcome.DecodeDone {
 			n.metrics.countResponse(responseCompleted)
 		}
 		n.table().AttemptEnded(now, command.ID, command.Attempt, evidence, result.Report)
@@ -125,7 +128,7 @@
 	evidence := result.Evidence
 	n.log.Log(context.Background(), level, "attempt ended", "request", command.ID, "attempt", command.Attempt, "engine", command.Engine,
 		"progress", evidence.Progress.String(), "cause", evidence.Cause.String(), "response_kind", evidence.ResponseKind.String(),
-		"error", text, "load_report", result.Report)
+		"prefill_process", evidence.PrefillProcess, "decode_header", evidence.DecodeHeader, "error", text, "load_report", result.Report)
 }
 
 // checkDescriptors records a descriptor shortage if err says that the process has no file descriptor left.
@@ -143,7 +146,7 @@
 	engine  string
 
 	startedAt float64   // (s)
-	grant     chan bool // receives the decision whether the attempt may respond to the client; nil for a prefill
+	grant     chan bool // receives the decision whether the attempt may respond to the client
 }
 
 // LoadReported forwards the load report at the start of the engine's response to the request table, as the result of a health check.
--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -37,8 +37,13 @@
 	if request == nil {
 		return
 	}
-	if attempt, ok := request.attempts[command.Attempt]; ok {
+	attempt, ok := request.attempts[command.Attempt]
+	switch {
+	case !ok:
+	case !command.OnlyIfNotRun:
 		attempt.Cancel(command.Cause)
+	case attempt.CancelIfNotRun(command.Cause):
+		n.table().AttemptCanceled(command.ID, command.Attempt)
 	}
 }
 
--- a/internal/protocol/attemptcontrol.go
+++ b/internal/protocol/attemptcontrol.go
@@ -20,6 +20,7 @@
 	cancelDial     context.CancelFunc // cancels the dial in progress; nil = none
 	canceled       bool
 	requestWritten bool // the first byte is about to be written, or was
+	prefillProcess bool // outcome.Evidence.PrefillProcess of the connection
 	clientStreams  bool // the response is streaming to the client
 	cause          outcome.Cause
 }
@@ -57,6 +58,23 @@
 func (control *AttemptControl) Cancel(cause outcome.Cause) {
 	control.mu.Lock()
 	defer control.mu.Unlock()
+	control.cancel(cause)
+}
+
+// CancelIfNotRun cancels the attempt only if its end will prove that the request has not run: its first byte has not been written, or the
+// engine's process is a prefill engine. It reports whether the attempt is canceled.
+func (control *AttemptControl) CancelIfNotRun(cause outcome.Cause) bool {
+	control.mu.Lock()
+	defer control.mu.Unlock()
+	if control.requestWritten && !control.prefillProcess {
+		return control.canceled
+	}
+	control.cancel(cause)
+	return true
+}
+
+// cancel implements Cancel. The caller holds the lock.
+func (control *AttemptControl) cancel(cause outcome.Cause) {
 	if control.canceled {
 		return
 	}
@@ -100,6 +118,7 @@
 	control.mu.Lock()
 	defer control.mu.Unlock()
 	control.conn, control.requestWritten = conn, !control.canceled
+	control.prefillProcess = conn != nil && conn.CompletedPrefill
 	return !control.canceled
 }
 
@@ -170,6 +189,7 @@
 // that, Exchange closes the connection and returns nil, and result holds the attempt's progress and cause.
 func (control *AttemptControl) Exchange(conn *http1.ClientConn, deadline time.Time, message Message, result *Result) *http1.Response {
 	result.Evidence.Progress = outcome.Connected
+	result.Evidence.PrefillProcess = conn.CompletedPrefill
 	if !control.Attach(conn) {
 		conn.Close()
 		result.Evidence.Cause, _ = control.Canceled()
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -70,6 +70,8 @@
 	Run(observer AttemptObserver) Result
 	// Cancel ends the attempt for the given cause, at any point.
 	Cancel(cause outcome.Cause)
+	// CancelIfNotRun cancels the attempt only if its end will prove that the request has not run, and reports whether it did.
+	CancelIfNotRun(cause outcome.Cause) bool
 	// CancelIfUnsent ends the attempt, unless its first byte is about to be written or was written.
 	CancelIfUnsent()
 	// Delivered reports whether the request has reached the engine, as far as the node can tell.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -116,6 +116,7 @@
 		}
 		return
 	}
+	conn.CompletedPrefill = conn.CompletedPrefill || result.Evidence.ResponseKind == outcome.PrefillDone
 	a.engines.pool.PutAfter(conn, response)
 	if result.Evidence.ResponseKind == outcome.PrefillDone {
 		result.Evidence.CachedTokens = cachedTokens(body)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -30,7 +30,8 @@
 // streamResponse forwards the stream of the engine to the client.
 func (a *attempt) streamResponse(conn *http1.ClientConn, response *http1.Response, observer protocol.AttemptObserver,
 	result *protocol.Result) {
-	if a.isStream(response) {
+	result.Evidence.DecodeHeader = true
+	if isStream(response) {
 		result.Evidence.Cause, result.Err = a.forwardEvents(conn, response, observer, result)
 	} else {
 		result.Evidence.Cause, result.Err = outcome.MalformedResponse, errNoStream
@@ -47,10 +48,11 @@
 	a.engines.pool.PutAfter(conn, response)
 }
 
-// isStream reports whether a response with status 200 is a stream that a decode attempt can forward.
-func (a *attempt) isStream(response *http1.Response) bool {
+// isStream reports whether a response with status 200 is a stream that an attempt can forward. An engine also responds to a prefill with a
+// stream, if it is no longer the prefill engine that the endpoint list names.
+func isStream(response *http1.Response) bool {
 	contentType := strings.ToLower(response.Header.Get("Content-Type"))
-	return a.spec.Stage == outcome.Decode && response.Chunked && strings.HasPrefix(contentType, "text/event-stream")
+	return response.Chunked && strings.HasPrefix(contentType, "text/event-stream")
 }
 
 // forwardEvents forwards events until the engine's stream ends or breaks, or a write to the client fails.
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -27,6 +27,7 @@
 	Attempt      int
 	Engine       string
 	Status       Status
+	Effect       EffectEvidence
 	Info         int     // for Prefilled: number of cached tokens that were found; for Rejected: 1 = the engine found no state to fetch
 	Spent        float64 // seconds since the attempt was sent
 	RequestEnded bool    // the request ended with this attempt or before
@@ -111,6 +112,18 @@
 		"canceled", "not-sent", "prefilled")
 }
 
+// EffectEvidence is what the host knows about the effect of an attempt beyond its status.
+type EffectEvidence int
+
+// Kinds of evidence.
+const (
+	EffectByStatus EffectEvidence = iota // the host knows no more than the status
+	EffectExcluded                       // the request has not run at the engine and will not run there
+	EffectPossible                       // the request has run at the engine, or may have run or may still run there
+)
+
+func (e EffectEvidence) String() string { return enumName(int(e), "by-status", "excluded", "possible") }
+
 // LoadReport holds the load figures that an engine reports. A figure is valid only if its flag is set in Has.
 type LoadReport struct {
 	Active        float64 // requests at the engine, including waiting requests and waiting states
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -52,9 +52,32 @@
 // firstTokenArrived records that the response has started to stream.
 func (s *Scheduler) firstTokenArrived(event FirstToken) {
 	req := s.requests[event.ID]
-	if req == nil || !req.hasInFlight(event.Attempt) || req.stage != stageDecoding {
+	if req == nil || !req.hasInFlight(event.Attempt) {
 		return
 	}
+	switch req.stage {
+	case stagePrefilling:
+		s.prefillStreams(req)
+	case stageDecoding:
+		s.decodeStreams(req, event)
+	}
+}
+
+// prefillStreams records that the engine of a prefill decodes the request itself: it is no longer the prefill engine that the endpoint
+// list names. Nothing is learned from the attempt, because it was predicted as a prefill.
+func (s *Scheduler) prefillStreams(req *request) {
+	engine := req.inFlight.engine
+	s.attemptProgressed(req.stage)
+	engine.prefills = without(engine.prefills, req)
+	s.assignDecodeEngine(req, engine)
+	req.stream = streamStart{}
+	req.stage = stageStreaming
+	req.reserved = nil
+	s.recordSuccess(engine)
+}
+
+// decodeStreams records the first token of a decode attempt.
+func (s *Scheduler) decodeStreams(req *request, event FirstToken) {
 	engine := req.decodeEngine
 	s.attemptProgressed(req.stage)
 	s.completedWork[engine.role].add(s.now, s.work(req, engine.role), rateWindow)
@@ -98,7 +121,7 @@
 		s.attemptRejected(req, ended, outcome)
 	case NotSent: // nothing happened at the engine
 	default:
-		s.attemptFailed(req, ended, outcome.Status)
+		s.attemptFailed(req, ended, outcome)
 	}
 	s.continueRequest(req, ended, outcome.RequestEnded)
 }
@@ -172,16 +195,16 @@
 }
 
 // attemptFailed records a failure: an error, a timeout, a lost connection, or a cancellation.
-func (s *Scheduler) attemptFailed(req *request, ended endedAttempt, status Status) {
+func (s *Scheduler) attemptFailed(req *request, ended endedAttempt, outcome Outcome) {
 	engine := ended.engine
 	req.lastFailedEngine = engine
-	s.recordAttemptFailure(ended, status)
-	if ended.stage != stageDecoding && ended.stage != stageStreaming {
-		return
-	}
-	if status != ConnectFailed && req.possibleEffect == nil && engine.role != Prefill {
+	s.recordAttemptFailure(ended, outcome.Status)
+	if req.possibleEffect == nil && ended.mayHaveRun(outcome) {
 		req.possibleEffect = &possibleEffect{sentAt: ended.sentAt, engine: engine}
 	}
+	if ended.stage == stagePrefilling {
+		return
+	}
 	if req.reserved != nil {
 		req.stage = stagePrefilled
 	}
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -7,6 +7,18 @@
 // dedupMarginTicks is the length, in ticks, of the time at the end of a deduplication window in which no repeat is sent any longer.
 const dedupMarginTicks = 2
 
+// mayHaveRun reports whether an attempt that has failed may have run at its engine. The host's evidence decides. If there is none, an
+// attempt at a prefill engine has not run.
+func (ended *endedAttempt) mayHaveRun(outcome Outcome) bool {
+	switch {
+	case outcome.Effect != EffectByStatus:
+		return outcome.Effect == EffectPossible
+	case outcome.Status == ConnectFailed:
+		return false
+	}
+	return ended.stage != stagePrefilling && ended.engine.role != Prefill
+}
+
 // repeatAllowed reports whether the request may be sent to an engine. It may if none of its attempts can have run, or if it is
 // idempotent. A request that is idempotent by key may also be sent within its deduplication scope until its deduplication window ends.
 func (s *Scheduler) repeatAllowed(req *request, target *engine) bool {
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -152,3 +152,45 @@
 	}
 	return sends, served
 }
+
+// The evidence of the host about an effect counts more than the status and the listed role.
+func TestRetryFollowsEffectEvidence(t *testing.T) {
+	for _, c := range []struct {
+		effect  EffectEvidence
+		retried bool
+	}{{EffectByStatus, true}, {EffectExcluded, true}, {EffectPossible, false}} {
+		t.Run(c.effect.String(), func(t *testing.T) {
+			sched := startScheduler(t, testConfig(), testFleet())
+			prefill := onlyAction[Send](t, sched.Step(1, []Event{testRequest("a", atMostOnceClass)})).Engine
+			acts := sched.Step(1.2, []Event{Outcome{ID: "a", Attempt: 0, Engine: prefill, Status: ConnectionLost, Effect: c.effect}})
+			if c.retried {
+				onlyAction[Send](t, acts)
+				return
+			}
+			noAction[Send](t, acts)
+			noAction[Reject](t, acts)
+			onlyAction[Fail](t, acts)
+		})
+	}
+}
+
+// An engine that has become one that decodes answers a prefill with the stream of the response. The request must neither be rejected at its
+// deadline while it streams nor be sent again after its end.
+func TestStreamInResponseToPrefillEndsRequest(t *testing.T) {
+	sched := startScheduler(t, testConfig(), testFleet())
+	prefill := onlyAction[Send](t, sched.Step(1, []Event{testRequest("a", atMostOnceClass)})).Engine
+	sched.Step(1.1, []Event{FirstToken{ID: "a", Attempt: 0, Engine: prefill, Spent: 0.1}})
+	for now := 1.2; now < 8; now += 0.1 {
+		acts := sched.Step(now, []Event{TimerFired{}})
+		noAction[Reject](t, acts)
+		noAction[Fail](t, acts)
+		noAction[Send](t, acts)
+		noAction[Cancel](t, acts)
+	}
+	acts := sched.Step(8, []Event{Outcome{ID: "a", Attempt: 0, Engine: prefill, Status: Completed, RequestEnded: true}})
+	noAction[Send](t, acts)
+	if engine := sched.engines[prefill]; len(engine.prefills)+len(engine.admitted) != 0 || len(sched.requests) != 0 {
+		t.Errorf("got %d prefills and %d admitted requests at the engine and %d requests, want none", len(engine.prefills),
+			len(engine.admitted), len(sched.requests))
+	}
+}
