Scheduler: judge an attempt by the role for which it was sent, not by the list at its end

What callers would see: the scheduler alone (bin/adapter, and any host that knows no more than a status) sends a request that must never run twice a second time.

Cause: attemptFailed asked for the role that the engine has when the attempt ends. The same holds the other way round: a prefill whose engine the list turns into one that decodes while it is in flight may have run.

Change: without the host's evidence the stage of the attempt decides, and a prefill counts as one only if the list has changed no role of its engine during the attempt (attempt.roleChanged, set by the endpoint view, so that a change back does not hide the change).

--- a/scheduler/endpointview.go
+++ b/scheduler/endpointview.go
@@ -43,6 +43,7 @@
 		s.engineList = append(s.engineList, target)
 	} else if entry.State == EngineReady && entry.BootTime > target.BootTime {
 		*target = engine{
+			role:           target.role,
 			discoveredAt:   s.now,
 			prefills:       target.prefills,
 			admitted:       target.admitted,
@@ -51,10 +52,21 @@
 		}
 	}
 	target.Engine = entry
-	target.role = s.cfg.Kinds[entry.Kind].Role
+	target.setRole(s.cfg.Kinds[entry.Kind].Role)
 	target.memory = s.cfg.Kinds[entry.Kind].Memory
 }
 
+// setRole sets the role of an engine. A prefill in flight there may have reached an engine that decodes.
+func (e *engine) setRole(role Role) {
+	if e.role == role {
+		return
+	}
+	e.role = role
+	for _, req := range e.prefills {
+		req.inFlight.roleChanged = true
+	}
+}
+
 // removeEngines marks the engines that are missing from a complete list as removed, and deletes removed engines that have no
 // request of this node.
 func (s *Scheduler) removeEngines(complete bool, listed map[string]bool) {
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -54,6 +54,7 @@
 	cancelRequested  bool
 	usesReservation  bool    // uses a state or a slot that was reserved for the request when the attempt was sent
 	stateReleased    bool    // that state was released during the attempt
+	roleChanged      bool    // the endpoint list has changed the role of its engine during the prefill
 	overtakenBy      int     // number of attempts that were sent to its engine later and answered earlier
 	transferTokens   float64 // tokens of its state in transit on the link out of the prefill engine's cell; 0 = none
 }
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -8,7 +8,7 @@
 const dedupMarginTicks = 2
 
 // mayHaveRun reports whether an attempt that has failed may have run at its engine. The host's evidence decides. If there is none, an
-// attempt at a prefill engine has not run.
+// attempt that was sent to a prefill engine has not run, provided that the endpoint list has changed no role there during the attempt.
 func (ended *endedAttempt) mayHaveRun(outcome Outcome) bool {
 	switch {
 	case outcome.Effect != EffectByStatus:
@@ -16,7 +16,7 @@
 	case outcome.Status == ConnectFailed:
 		return false
 	}
-	return ended.stage != stagePrefilling && ended.engine.role != Prefill
+	return ended.stage != stagePrefilling || ended.roleChanged
 }
 
 // repeatAllowed reports whether the request may be sent to an engine. It may if none of its attempts can have run, or if it is
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -153,6 +153,41 @@
 	return sends, served
 }
 
+// The scheduler alone sent a request a second time after the list had turned its decode engine into a prefill engine. What an attempt may
+// have done follows from the role for which it was sent.
+func TestAtMostOnceIsNotRetriedAfterDecodeEngineIsListedAsPrefillEngine(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		sched := startScheduler(t, testConfig(), testFleet())
+		_, decode := prefillAndPlace(t, sched, 1, testRequest("a", atMostOnceClass))
+		changed := testEngine(decode, prefillKind, int(decode[1]-'0'))
+		if restarted {
+			changed.BootTime = 1.1
+		}
+		sched.Step(1.1, []Event{EndpointUpdate{Form: UpdateIncremental, Engines: []Engine{changed}}})
+		acts := sched.Step(1.2, []Event{Outcome{ID: "a", Attempt: 1, Engine: decode, Status: ConnectionLost}})
+		noAction[Send](t, acts)
+		noAction[Reject](t, acts)
+		onlyAction[Fail](t, acts)
+	}
+}
+
+// A prefill that fails while the list turns its engine into one that decodes may have run there, also if the list turns it back.
+func TestAtMostOnceIsNotRetriedAfterRoleChangedDuringPrefill(t *testing.T) {
+	for _, changes := range [][]int{{decodeKind}, {mixedKind}, {decodeKind, prefillKind}} {
+		sched := startScheduler(t, testConfig(), testFleet())
+		prefill := onlyAction[Send](t, sched.Step(1, []Event{testRequest("a", atMostOnceClass)})).Engine
+		for i, kind := range changes {
+			changed := testEngine(prefill, kind, int(prefill[1]-'0'))
+			changed.BootTime = 1 + 0.1*float64(i)
+			sched.Step(1.1, []Event{EndpointUpdate{Form: UpdateIncremental, Engines: []Engine{changed}}})
+		}
+		acts := sched.Step(1.2, []Event{Outcome{ID: "a", Attempt: 0, Engine: prefill, Status: ConnectionLost}})
+		noAction[Send](t, acts)
+		noAction[Reject](t, acts)
+		onlyAction[Fail](t, acts)
+	}
+}
+
 // The evidence of the host about an effect counts more than the status and the listed role.
 func TestRetryFollowsEffectEvidence(t *testing.T) {
 	for _, c := range []struct {
