Keep the state of a decode engine that answers with a finished prefill

What callers would see: a decode engine restarts as a prefill engine before the list says so, and answers a decode attempt with 202. The request failed as one that may have run, although PROTOCOL's 202 proves that it did not, and the state that the answer announces was not known to the node.

Cause: classifyResponse and ProvesNotRun accepted a finished prefill for the stage Prefill alone; the scheduler, told of one, released the new state with the attempt's own prefill and would have asked the same engine again. A decode engine that the list has turned into a prefill engine since the request was admitted to it still got the decode attempt.

Change: a finished prefill is Prefilled in either stage. The table holds the new state and releases the older one with it; the scheduler goes on with another decode engine, and sends no decode attempt to an engine that is listed for prefills.

--- a/internal/decide/outcome/classify.go
+++ b/internal/decide/outcome/classify.go
@@ -52,7 +52,7 @@
 	}
 	switch evidence.ResponseKind {
 	case PrefillDone:
-		return evidence.Stage == Prefill
+		return evidence.Progress < Streaming
 	case EngineRejected, StateMissing, InvalidRequest:
 		return true
 	}
@@ -91,8 +91,8 @@
 		if evidence.Stage == Decode {
 			return Classification{Status: scheduler.Completed, Info: evidence.CachedTokens}
 		}
-	case PrefillDone:
-		if evidence.Stage == Prefill {
+	case PrefillDone: // also after a decode attempt: the engine has become a prefill engine, and holds a state
+		if evidence.Progress < Streaming {
 			return Classification{Status: scheduler.Prefilled, Info: evidence.CachedTokens}
 		}
 	case StateMissing:
--- a/internal/decide/outcome/outcome_test.go
+++ b/internal/decide/outcome/outcome_test.go
@@ -77,7 +77,7 @@
 		Classification{Status: scheduler.ServerError, MayHaveRun: true}},
 	{"prefill response to a decode attempt",
 		Evidence{Stage: Decode, Progress: HeaderReceived, Cause: ResponseComplete, ResponseKind: PrefillDone, CachedTokens: 7},
-		Classification{Status: scheduler.ServerError, MayHaveRun: true}},
+		Classification{Status: scheduler.Prefilled, Info: 7}},
 	{"decode response to a prefill attempt",
 		Evidence{Stage: Prefill, Progress: HeaderReceived, Cause: ResponseComplete, ResponseKind: DecodeDone, DecodeHeader: true},
 		Classification{Status: scheduler.ServerError, MayHaveRun: true, MayHoldState: true}},
--- a/internal/decide/requesttable/attempts_test.go
+++ b/internal/decide/requesttable/attempts_test.go
@@ -297,3 +297,20 @@
 		t.Errorf("got %+v, want a completed request", ended)
 	}
 }
+
+// A decode engine that has become a prefill engine answers a decode attempt with a prefill. The request has not run, and the state that it
+// left must be fetched by the next attempt.
+func TestPrefillInResponseToDecodeIsNotRun(t *testing.T) {
+	table := newTable()
+	table.AddRequest(1, newRequest("a", atMostOnce), 0)
+	first := startAttempt(t, table, 1, "a", "r0")
+	table.AttemptEnded(1.1, "a", first, prefillDone, nil)
+	second := startAttempt(t, table, 1.1, "a", "w0")
+	table.AttemptEnded(1.2, "a", second, prefillDone, nil)
+	table.DrainCommands()
+	table.Apply(1.3, scheduler.Send{ID: "a", Engine: "w1"})
+	starts := commandsOf[StartAttempt](table)
+	if len(starts) != 1 || !starts[0].FetchState || starts[0].StateAttempt != second {
+		t.Errorf("got %+v, want an attempt that fetches the state of attempt %d", starts, second)
+	}
+}
--- a/internal/decide/requesttable/releases_test.go
+++ b/internal/decide/requesttable/releases_test.go
@@ -167,7 +167,7 @@
 	}
 	responded := evidence.Cause == outcome.ResponseComplete
 	mayHold := !responded && (start.Stage == outcome.Prefill || !start.FetchState)
-	prefilled := responded && evidence.ResponseKind == outcome.PrefillDone && start.Stage == outcome.Prefill
+	prefilled := responded && evidence.ResponseKind == outcome.PrefillDone
 	h.mayBeHeld = h.mayBeHeld || mayHold || prefilled
 	h.table.AttemptEnded(h.now, "a", n, evidence, nil)
 }
--- a/internal/node/role_change_test.go
+++ b/internal/node/role_change_test.go
@@ -113,6 +113,26 @@
 	harness.requireNoViolations()
 }
 
+// A decode engine was restarted as a prefill engine before the endpoint list said so. Its responses show that nothing ran: the request must
+// be served by another engine, or rejected if there is none, and no state may be left.
+func TestRelayUnsafeRequestIsServedAfterDecodeEngineBecamePrefillEngine(t *testing.T) {
+	harness, engines := newRelayHarness(t, 64, 256, "r0 read", "r1 read", "w0 write", "w1 write")
+	for range 3 {
+		harness.requireServedOnce("commit")
+	}
+	harness.restartAs("read", engines["w0"])
+	for range 6 {
+		harness.requireServedOnce("commit")
+	}
+	harness.restartAs("read", engines["w1"])
+	request := harness.newRequest("commit")
+	request.Timeout = time.Second
+	if result := harness.send(request); result.Outcome != record.Rejected {
+		t.Errorf("got %+v, want it rejected: it has run nowhere", result)
+	}
+	harness.requireNoViolations()
+}
+
 // A prefill engine fails on a connection on which it has completed a prefill. It has no effect, so a request that must never run twice must
 // be retried.
 func TestRelayUnsafeRequestIsRetriedAfterFaultOfProvenPrefillEngine(t *testing.T) {
@@ -129,3 +149,51 @@
 		})
 	}
 }
+
+// The endpoint list turns engines into others and back under steady load, some time after they have changed. Each request must get its
+// response, no effect may happen twice and no state may stay.
+func TestRelayRolesChangeUnderLoad(t *testing.T) {
+	harness, engines := newRelayHarness(t, 64, 256, "r0 read", "r1 read", "r2 read", "w0 write", "w1 write", "w2 write")
+	stop := make(chan struct{})
+	ended := make(chan platform.Response, 1000)
+	clients := 6
+	for i := range clients {
+		request := harness.newRequest([]string{"chat", "commit"}[i%2])
+		go func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					ended <- platform.Response{}
+					return
+				default:
+				}
+				next := request
+				next.Operation = request.Operation + "-" + string(rune('a'+n%26)) + time.Duration(n).String()
+				harness.send(next)
+			}
+		}()
+	}
+	change := func(id, role string, lag time.Duration) {
+		harness.restartAs(role, engines[id])
+		started := time.Now().UnixMilli()
+		time.Sleep(lag)
+		harness.discovery.Update(id, func(e *platform.Endpoint) { e.Kind, e.Started = role, started })
+	}
+	for _, c := range []struct {
+		id, role string
+		lag      time.Duration
+	}{
+		{"r0", "write", 400 * time.Millisecond},
+		{"w0", "read", 400 * time.Millisecond},
+		{"r0", "both", 0},
+		{"r0", "read", 200 * time.Millisecond},
+		{"w0", "write", 50 * time.Millisecond},
+	} {
+		change(c.id, c.role, c.lag)
+	}
+	close(stop)
+	for range clients {
+		<-ended
+	}
+	harness.requireNoViolations()
+}
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -131,7 +131,7 @@
 	ended := endedAttempt{attempt: *req.inFlight, stage: req.stage}
 	engine := ended.engine
 	s.attemptProgressed(ended.stage)
-	if req.prefillsWithDecode() && outcome.Status != Completed {
+	if req.prefillsWithDecode() && outcome.Status != Completed && outcome.Status != Prefilled {
 		s.emit(Release{ID: req.ID}) // an engine that prefills and decodes reserves the state too
 	}
 	s.learnPredictionError(ended, outcome)
@@ -159,11 +159,18 @@
 	}
 }
 
-// prefillSucceeded records that the request's state waits at its prefill engine.
+// prefillSucceeded records that the request's state waits at the engine of the attempt. After a decode attempt, the engine is no longer
+// the decode engine that the endpoint list names; nothing is learned from the attempt.
 func (s *Scheduler) prefillSucceeded(req *request, ended endedAttempt, outcome Outcome) {
 	cached := float64(outcome.Info)
 	req.reserved = &reservedState{since: s.now}
 	req.stage = stagePrefilled
+	if ended.stage != stagePrefilling {
+		req.prefillEngine = ended.engine
+		req.lastFailedEngine = ended.engine
+		s.recordSuccess(ended.engine)
+		return
+	}
 	s.completedWork[Prefill].add(s.now, s.work(req, Prefill), rateWindow)
 	s.learnPrefill(req, ended.engine, max(1, req.prefill.load+req.cachedTokens-cached), outcome.Spent)
 	s.learnPrefixHitRate(req, ended.engine, cached)
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -161,6 +161,6 @@
 
 // acceptsState reports whether the engine to which a request is admitted can still accept its state.
 func (s *Scheduler) acceptsState(req *request, target *engine) bool {
-	return target.State == EngineReady && s.acceptsWork(target) && s.repeatAllowed(req, target) &&
+	return target.State == EngineReady && target.role != Prefill && s.acceptsWork(target) && s.repeatAllowed(req, target) &&
 		s.slowStartAllows(req, target) && s.now >= target.fullUntil
 }
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -229,3 +229,17 @@
 			len(engine.admitted), len(sched.requests))
 	}
 }
+
+// A decode engine that has become a prefill engine answers a decode attempt with a prefill. The next attempt must go to another engine and
+// must not discard the state.
+func TestPrefillInResponseToDecodeIsRetriedElsewhere(t *testing.T) {
+	endpoints := testFleet()
+	endpoints.Engines = append(endpoints.Engines, testEngine("w0b", 1, 0), testEngine("w1b", 1, 1))
+	sched := startScheduler(t, testConfig(), endpoints)
+	_, decode := prefillAndPlace(t, sched, 1, testRequest("a", atMostOnceClass))
+	acts := sched.Step(1.2, []Event{Outcome{ID: "a", Attempt: 1, Engine: decode, Status: Prefilled}})
+	noAction[Release](t, acts)
+	if next := onlyAction[Send](t, acts).Engine; next == decode || next[0] != 'w' {
+		t.Errorf("got an attempt at %s after %s answered with a prefill, want another decode engine", next, decode)
+	}
+}
