Send a prefill that a decode engine turns away to another engine

What callers would see: where decode engines do not prefill (local_read false), an engine that has become a decode engine answers a prefill with 410. Each request whose prefix belongs there spent all its attempts on it within milliseconds and was rejected, until the list named the new role.

Cause: attemptRejected takes 'no state to fetch' for a statement about the state alone and neither blames nor avoids an engine that says it to a prefill.

Change: such an engine counts as the one at which the request failed last, and its failure score rises, as after any other failed prefill.

Measured: the new test fails without the change and passes with it.

--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -187,6 +187,10 @@
 func (s *Scheduler) attemptRejected(req *request, ended endedAttempt, outcome Outcome) {
 	stateReserved := ended.stage == stageDecoding && req.reserved != nil
 	if outcome.Info == stateMissing {
+		if ended.stage == stagePrefilling { // it is no longer the prefill engine that the endpoint list names
+			req.lastFailedEngine = ended.engine
+			s.recordFailure(ended.engine)
+		}
 		if stateReserved { // the prefill engine lost the state and the decode engine is not full: prefill again
 			s.recordFailure(req.prefillEngine)
 		}
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -243,3 +243,13 @@
 		t.Errorf("got an attempt at %s after %s answered with a prefill, want another decode engine", next, decode)
 	}
 }
+
+// A prefill that is answered with the rejection of a decode engine must not use up its attempts at that engine.
+func TestPrefillRejectedByDecodeEngineIsRetriedElsewhere(t *testing.T) {
+	sched := startScheduler(t, testConfig(), testFleet())
+	first := onlyAction[Send](t, sched.Step(1, []Event{testRequest("a", idempotentClass)})).Engine
+	acts := sched.Step(1.1, []Event{Outcome{ID: "a", Attempt: 0, Engine: first, Status: Rejected, Info: stateMissing}})
+	if next := onlyAction[Send](t, acts).Engine; next == first {
+		t.Errorf("got a second attempt at %s, which has no prefill role any more", next)
+	}
+}
