Take a comment at the end of a stream for a comment, not for half an event

A client whose request must not run twice was told that it had failed. The engines were ejected one after another.

Cause: EventReader.readLine returned io.ErrUnexpectedEOF at the end of the body whenever bytes stood behind the last empty line, also if they were a comment. The standard of server-sent events ends only events with an empty line.

A body that ends within an event is reported as ErrIncompleteEvent: a broken stream before or in the final event, and discarded after it. The platform's and the simulation's engines write the bare comment line; eight further forms, valid and broken, are faults of the platform that the soak draws. The platform's client reads all of them.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -65,11 +65,8 @@
 	final := false // the final event has arrived
 	for begun := false; ; begun = true {
 		data, raw, err := events.Next()
-		if err == io.EOF && begun && !final {
-			err = errNoFinalEvent
-		}
 		if err != nil {
-			return a.endStream(err, begun, pending)
+			return a.endStream(endOfStream(err, begun, final), begun, pending)
 		}
 		final = string(data) == finalEvent
 		if !begun {
@@ -91,6 +88,18 @@
 	}
 }
 
+// endOfStream returns the error that ends a stream: io.EOF if the stream is complete. After the final event, the standard discards what is left
+// of an event that the body does not end.
+func endOfStream(err error, begun, final bool) error {
+	switch {
+	case final && err == http1.ErrIncompleteEvent:
+		return io.EOF
+	case begun && !final && err == io.EOF:
+		return errNoFinalEvent
+	}
+	return err
+}
+
 // beginStream begins the response to the client after the engine's first event, once the response is granted to this attempt. Any cause
 // other than ResponseComplete ends the attempt.
 func (a *attempt) beginStream(first []byte, observer protocol.AttemptObserver, result *protocol.Result) (outcome.Cause, error) {
--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -142,8 +143,10 @@
 func ReadEvents(body io.Reader) (string, error) {
 	text := ""
 	lines := bufio.NewScanner(body)
+	lines.Split(splitEventLines)
 	for lines.Scan() {
-		data, found := strings.CutPrefix(lines.Text(), "data: ")
+		data, found := strings.CutPrefix(strings.TrimPrefix(lines.Text(), "\uFEFF"), "data:")
+		data = strings.TrimPrefix(data, " ")
 		if !found || data == "[DONE]" {
 			continue
 		}
@@ -161,3 +164,15 @@
 	}
 	return text, lines.Err()
 }
+
+// splitEventLines is a bufio.SplitFunc for the lines of server-sent events, which end with LF, CRLF or CR. Of a CRLF, the LF gives a line of its
+// own, which is empty.
+func splitEventLines(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	if i := bytes.IndexAny(data, "\r\n"); i >= 0 {
+		return i + 1, data[:i], nil
+	}
+	if atEOF && len(data) > 0 {
+		return len(data), data, nil
+	}
+	return 0, nil, nil
+}
--- a/lab/platform/exchange.go
+++ b/lab/platform/exchange.go
@@ -27,6 +27,7 @@
 	operation     Operation
 	fault         Fault
 	base          record.Record // the fields that all records of the attempt share
+	markWritten   bool          // the byte order mark of OtherFields has been written
 	waitsForState bool          // it is a decode attempt that waits for the state of its call
 }
 
--- a/lab/platform/fault.go
+++ b/lab/platform/fault.go
@@ -21,6 +21,15 @@
 	MalformedLoadReport       Fault = "bad report"    // valid: a load report that cannot be parsed
 	SecondResponse            Fault = "second answer" // valid: another response immediately after the final one
 	DelayedSecondResponse     Fault = "late answer"   // valid: another response some milliseconds after the final one
+	CommentBlock              Fault = "comment block" // valid: an empty line follows the comment line at the end of the stream
+	CutComment                Fault = "cut comment"   // valid: that comment line has no line ending
+	SeveralComments           Fault = "more comments" // valid: several comment lines, in chunks of their own, end the stream
+	CRLFLines                 Fault = "crlf"          // valid: lines end with CRLF
+	CRLines                   Fault = "cr"            // valid: lines end with CR
+	OtherFields               Fault = "fields"        // valid: events have more fields, no space after the colon, and a byte order mark first
+	HalfEventAfterFinal       Fault = "half after"    // valid: the stream ends with its last chunk, within an event after the final one
+	HalfFinalEvent            Fault = "half final"    // the stream ends with its last chunk, within its final event
+	HalfEvent                 Fault = "half event"    // the stream ends with its last chunk, within an event before the final one
 	NoFinalEvent              Fault = "no final"      // the stream ends with its last chunk but without its final event
 	CloseInLastChunk          Fault = "cut last"      // the connection closes within the last chunk
 	EndlessComments           Fault = "comments"      // in mid-stream, comments without end instead of events
--- a/lab/platform/stream.go
+++ b/lab/platform/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -34,7 +35,7 @@
 		}
 		text := EventText(x.operation.Name, i)
 		event := fmt.Sprintf("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", text)
-		if !x.writeChunk(event) || !x.wait(e.TokenInterval) {
+		if !x.writeEvents(event) || !x.wait(e.TokenInterval) {
 			return false
 		}
 	}
@@ -80,10 +81,9 @@
 	if x.fault == MalformedLoadReport {
 		loadReport = "util=often"
 	}
-	x.writeChunk(usageEvent)
-	if x.fault != NoFinalEvent {
-		x.writeChunk(finalEvent + ": X-Load-Report: " + loadReport + "\n\n")
-	}
+	x.writeEvents(usageEvent)
+	x.writeFinalEvent()
+	x.writeComment(": X-Load-Report: " + loadReport)
 	if x.fault == CloseInLastChunk {
 		x.write("0\r\n")
 		return false
@@ -101,6 +101,56 @@
 	return true
 }
 
+// writeFinalEvent writes the final event, and what the fault of the exchange puts in its place or behind it.
+func (x *exchange) writeFinalEvent() {
+	switch x.fault {
+	case NoFinalEvent:
+	case HalfEvent:
+		x.writeEvents(usageEvent[:len(usageEvent)/2])
+	case HalfFinalEvent:
+		x.writeEvents(strings.TrimSuffix(finalEvent, "\n"))
+	case HalfEventAfterFinal:
+		x.writeEvents(finalEvent + usageEvent[:len(usageEvent)/2])
+	default:
+		x.writeEvents(finalEvent)
+	}
+}
+
+// writeComment writes the comment that ends a stream, unless the fault of the exchange ends the stream before it.
+func (x *exchange) writeComment(comment string) {
+	switch x.fault {
+	case NoFinalEvent, HalfEvent, HalfFinalEvent, HalfEventAfterFinal:
+	case CommentBlock:
+		x.writeEvents(comment + "\n\n")
+	case CutComment:
+		x.writeEvents(comment)
+	case SeveralComments:
+		for _, line := range []string{":\n", comment + "\n", ": bye\n"} {
+			x.writeEvents(line)
+			time.Sleep(commentInterval)
+		}
+	default: // PROTOCOL: "as a comment line"
+		x.writeEvents(comment + "\n")
+	}
+}
+
+// writeEvents writes lines of a stream as one chunk, in the form that the fault of the exchange gives to lines.
+func (x *exchange) writeEvents(text string) bool {
+	switch x.fault {
+	case CRLFLines:
+		text = strings.ReplaceAll(text, "\n", "\r\n")
+	case CRLines:
+		text = strings.ReplaceAll(text, "\n", "\r")
+	case OtherFields:
+		text = strings.ReplaceAll(text, "data: ", "event: message\nid: 7\ndata:")
+		if !x.markWritten {
+			text = "\uFEFFretry: 100\n\n" + text
+			x.markWritten = true
+		}
+	}
+	return x.writeChunk(text)
+}
+
 // sendSecondResponse writes a stream that no request asked for, some milliseconds after the final response.
 func (x *exchange) sendSecondResponse() bool {
 	time.Sleep(secondResponseDelay)
--- a/lab/simulation/engineserver.go
+++ b/lab/simulation/engineserver.go
@@ -179,9 +179,9 @@
 	return err == nil
 }
 
-// end writes the last event, with the engine's load report, and the end of the body.
+// end writes the last event, with the engine's load report as a comment line (PROTOCOL), and the end of the body.
 func (s *responseStream) end(loadReport string) bool {
-	_, err := io.WriteString(s.conn, chunk("data: [DONE]\n\n: "+loadReportHeader+loadReport+"\n\n")+"0\r\n\r\n")
+	_, err := io.WriteString(s.conn, chunk("data: [DONE]\n\n: "+loadReportHeader+loadReport+"\n")+"0\r\n\r\n")
 	return err == nil
 }
 
