Property test: rules hold while engines change their roles, listed at once or late

Change: engines start with another role at any step. The list says so in the same step, and the host knows no more than a status; or it says so some steps later, and the host gives evidence of effects. An attempt that crosses the start is lost; it may have arrived before or after it.

--- a/scheduler/rules_test.go
+++ b/scheduler/rules_test.go
@@ -14,8 +14,11 @@
 	state     map[string]EngineState
 	role      map[string]Role
 	cell      map[string]int
+	starts    map[string]int // number of times that an engine has started with another role
 	requests  map[string]*trackedRequest
 	violation string
+
+	rolesChange bool // engines change their roles, so that an attempt that is sent as a prefill may run too
 }
 
 // trackedRequest is the checker's state of a request.
@@ -27,7 +30,8 @@
 	attemptsSent       int            // also the number of the next attempt
 	engineOf           map[int]string // engine of each attempt in flight, by its number
 	sentAt             map[int]float64
-	mayHaveRun         bool // an attempt may have run
+	sentTo             map[int]incarnation // of each attempt
+	mayHaveRun         bool                // an attempt may have run
 	mayHaveRunSince    float64
 	mayHaveRunInCell   int
 	streaming          bool
@@ -35,9 +39,15 @@
 	stateReservedSince float64
 }
 
+// incarnation identifies an engine from one change of its role to the next.
+type incarnation struct {
+	role   Role
+	starts int
+}
+
 func newRuleChecker(cfg Config, engines []Engine) *ruleChecker {
 	c := &ruleChecker{cfg: cfg, now: 1, state: map[string]EngineState{}, role: map[string]Role{}, cell: map[string]int{},
-		requests: map[string]*trackedRequest{}}
+		starts: map[string]int{}, requests: map[string]*trackedRequest{}}
 	for _, engine := range engines {
 		c.role[engine.ID] = cfg.Kinds[engine.Kind].Role
 		c.cell[engine.ID] = engine.Cell
@@ -93,10 +103,11 @@
 		c.fail("rule 3: %s is sent to %s, which is not ready", send.ID, send.Engine)
 	case req.attemptsSent >= c.cfg.Limits.MaxAttempts:
 		c.fail("%s has too many attempts", send.ID)
-	case req.mayHaveRun && c.role[send.Engine] != Prefill:
+	case req.mayHaveRun && (c.rolesChange || c.role[send.Engine] != Prefill):
 		c.checkRepeat(req, send)
 	}
 	req.engineOf[req.attemptsSent] = send.Engine
+	req.sentTo[req.attemptsSent] = incarnation{role: c.role[send.Engine], starts: c.starts[send.Engine]}
 	req.sentAt[req.attemptsSent] = c.now
 	req.inFlight++
 	req.attemptsSent++
@@ -128,6 +139,8 @@
 	scheduler *Scheduler
 	random    *rand.Rand
 	engines   []Engine
+	listLate  bool             // the list names a changed role later, and the host has evidence of effects
+	lateLists []EndpointUpdate // lists of changed roles that have not arrived
 	timers    []SetTimer
 	ids       []string // of all requests
 }
@@ -171,6 +184,14 @@
 
 // events returns the random events of a step. New requests arrive only if arrivals is set.
 func (h *randomHost) events(step int, arrivals bool) []Event {
+	if h.rolesChange {
+		switch h.random.Intn(20) {
+		case 0:
+			return h.changeRole()
+		case 1:
+			return h.lateList()
+		}
+	}
 	switch k := h.random.Intn(20); {
 	case k < 6 && arrivals:
 		return []Event{h.newRequest(fmt.Sprint("q", step))}
@@ -187,7 +208,7 @@
 	req.ClientTimeLeft = 0.02 + h.random.Float64()*3
 	req.PromptTokens = 100 + h.random.Float64()*4000
 	h.requests[id] = &trackedRequest{class: req.Class, deadline: h.now + req.ClientTimeLeft, engineOf: map[int]string{},
-		sentAt: map[int]float64{}}
+		sentAt: map[int]float64{}, sentTo: map[int]incarnation{}}
 	h.ids = append(h.ids, id)
 	return req
 }
@@ -230,6 +251,9 @@
 	engine := req.engineOf[number]
 	role := h.role[engine]
 	spent := h.now - req.sentAt[number]
+	if req.sentTo[number].starts != h.starts[engine] {
+		return h.endLostAttempt(id, number)
+	}
 	if role != Prefill && !req.streaming && !req.ended && h.random.Intn(2) == 0 {
 		req.streaming, req.stateReserved = true, false
 		return FirstToken{ID: id, Attempt: number, Engine: engine, Spent: spent}
@@ -246,10 +270,84 @@
 		req.stateReserved, req.stateReservedSince = true, h.now
 	default:
 		outcome.Status = h.failAttempt(req, number, engine)
+		outcome.Effect = h.effectEvidence(role, outcome.Status)
+	}
+	return outcome
+}
+
+// effectEvidence returns the evidence of a host about a failed attempt at an engine of a role.
+func (h *randomHost) effectEvidence(role Role, status Status) EffectEvidence {
+	switch {
+	case !h.listLate:
+		return EffectByStatus
+	case status == Rejected || status == ConnectFailed:
+		return EffectExcluded
+	case role == Prefill && h.random.Intn(2) == 0:
+		return EffectExcluded
+	}
+	return EffectPossible
+}
+
+// endLostAttempt ends an attempt whose engine has started with another role since it was sent.
+func (h *randomHost) endLostAttempt(id string, number int) Event {
+	req := h.requests[id]
+	engine, role := req.engineOf[number], req.sentTo[number].role
+	if role == Prefill && h.random.Intn(2) == 0 {
+		role = h.role[engine] // the request arrived after the start
+	}
+	outcome := Outcome{ID: id, Attempt: number, Engine: engine, Spent: h.now - req.sentAt[number], Status: ConnectionLost,
+		RequestEnded: req.ended || req.streaming, Effect: h.effectEvidence(role, ConnectionLost)}
+	delete(req.engineOf, number)
+	req.inFlight--
+	req.stateReservedSince = h.now
+	if req.streaming {
+		req.ended = true
+	}
+	if role == Prefill {
+		req.stateReserved = false
+	} else {
+		h.trackEffect(req, number, engine)
 	}
 	return outcome
 }
 
+// trackEffect records that an attempt may have run.
+func (h *randomHost) trackEffect(req *trackedRequest, number int, engine string) {
+	if !req.mayHaveRun {
+		req.mayHaveRun = true
+		req.mayHaveRunSince = req.sentAt[number]
+		req.mayHaveRunInCell = h.cell[engine]
+	}
+}
+
+// changeRole starts an engine with another role and returns the list that says so, at once or, with listLate, some steps later.
+func (h *randomHost) changeRole() []Event {
+	i := h.random.Intn(len(h.engines))
+	engine := &h.engines[i]
+	engine.Kind = (engine.Kind + 1 + h.random.Intn(2)) % len(h.cfg.Kinds)
+	engine.BootTime = h.now
+	h.role[engine.ID] = h.cfg.Kinds[engine.Kind].Role
+	h.starts[engine.ID]++
+	update := EndpointUpdate{Form: UpdateIncremental, Engines: []Engine{*engine}}
+	if h.listLate {
+		h.lateLists = append(h.lateLists, update)
+		return nil
+	}
+	h.state[engine.ID] = engine.State
+	return []Event{update}
+}
+
+// lateList returns the oldest list that has not arrived.
+func (h *randomHost) lateList() []Event {
+	if len(h.lateLists) == 0 {
+		return nil
+	}
+	update := h.lateLists[0]
+	h.lateLists = h.lateLists[1:]
+	h.state[update.Engines[0].ID] = update.Engines[0].State
+	return []Event{update}
+}
+
 // failAttempt draws the status of an attempt that fails, and tracks its effect.
 func (h *randomHost) failAttempt(req *trackedRequest, number int, engine string) Status {
 	statuses := []Status{ServerError, TimedOut, ConnectionLost, Canceled, ConnectFailed, Rejected}
@@ -259,17 +357,20 @@
 		req.stateReserved = false
 		return status
 	}
-	if status != Rejected && status != ConnectFailed && !req.mayHaveRun {
-		req.mayHaveRun = true
-		req.mayHaveRunSince = req.sentAt[number]
-		req.mayHaveRunInCell = h.cell[engine]
+	if status != Rejected && status != ConnectFailed {
+		h.trackEffect(req, number, engine)
 	}
 	return status
 }
 
 func checkRulesOnRandomEvents(t *testing.T, seed int64, steps int) {
 	t.Helper()
-	h := newRandomHost(t, seed)
+	newRandomHost(t, seed).checkRules(t, seed, steps)
+}
+
+// checkRules runs steps of random events and requires that no rule is broken.
+func (h *randomHost) checkRules(t *testing.T, seed int64, steps int) {
+	t.Helper()
 	h.step([]Event{listOf(h.engines...)})
 	for i := 0; i < steps && h.violation == ""; i++ {
 		events := append(h.advance(), h.events(i, i < steps*3/4)...)
@@ -289,6 +390,18 @@
 	}
 }
 
+// Engines change their roles at any time, and the list says so at once or later. What an attempt may have done was judged by the role that the
+// list named when the attempt ended, and a request that must never run twice was sent again.
+func TestRulesHoldWhileEnginesChangeRoles(t *testing.T) {
+	for seed := int64(1); seed <= 150; seed++ {
+		for _, listLate := range []bool{false, true} {
+			h := newRandomHost(t, seed)
+			h.rolesChange, h.listLate = true, listLate
+			h.checkRules(t, seed, 400)
+		}
+	}
+}
+
 func FuzzRules(f *testing.F) {
 	f.Add(int64(1))
 	f.Fuzz(func(t *testing.T, seed int64) { checkRulesOnRandomEvents(t, seed, 200) })
