--- a/internal/decide/endpoints/golden_poller_test.go
+++ b/internal/decide/endpoints/golden_poller_test.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"testing"
+
+	"dillroute/internal/goldenfile"
 )
 
 // goldenPollers returns a poller for each kind of source; all of them take their random numbers from draw.
@@ -31,7 +33,7 @@
 			}
 		}
 	}
-	compareGolden(t, "asker", x.String())
+	goldenfile.Compare(t, "asker", x.String(), "")
 }
 
 // pollerStep reports to the poller how one call ended: mostly with the usual outcome, else with a random one.
--- a/internal/decide/endpoints/golden_test.go
+++ b/internal/decide/endpoints/golden_test.go
@@ -1,18 +1,15 @@
 package endpoints
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strings"
 	"testing"
-)
 
-var update = flag.Bool("update", false, "rewrite the files under testdata/golden")
+	"dillroute/internal/goldenfile"
+)
 
 // goldenSeeds is the number of random sequences of each table, and goldenSteps the number of steps of each sequence.
 const (
@@ -42,40 +39,6 @@
 	}
 }
 
-// compareGolden compares a text with the golden file of the given name and prints the first line that differs. With -update it
-// rewrites the file instead.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name+".txt")
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	content, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	want := string(content)
-	if want == got {
-		return
-	}
-	wants, gots := strings.Split(want, "\n"), strings.Split(got, "\n")
-	for i := range max(len(wants), len(gots)) {
-		w, g := "(no line)", "(no line)"
-		if i < len(wants) {
-			w = wants[i]
-		}
-		if i < len(gots) {
-			g = gots[i]
-		}
-		if w != g {
-			t.Fatalf("%s line %d differs\nwant %s\ngot  %s", path, i+1, w, g)
-		}
-	}
-}
-
 // number formats a time or a weight with nine decimal places, so that differences due to rounding do not show.
 func number(x float64) string {
 	s := strings.TrimRight(strings.TrimRight(fmt.Sprintf("%.9f", x), "0"), ".")
@@ -196,7 +159,7 @@
 			viewState(x, view, now)
 		}
 	}
-	compareGolden(t, "view", x.String())
+	goldenfile.Compare(t, "view", x.String(), "")
 }
 
 // viewStep applies one random event to the view: a list, the passage of time, an index reset or a restore.
@@ -279,7 +242,7 @@
 			x.line("  version=%d whole=%s", at, yesNo(ok))
 		}
 	}
-	compareGolden(t, "told", x.String())
+	goldenfile.Compare(t, "told", x.String(), "")
 }
 
 // notifiedStep applies one response to the view: a complete list or changes, at times with an old version.
@@ -327,7 +290,7 @@
 			startTimesStep(x, r, starts, now, offset)
 		}
 	}
-	compareGolden(t, "starts", x.String())
+	goldenfile.Compare(t, "starts", x.String(), "")
 }
 
 // startTimesStep applies one random event to the start times: a reported start, a complete list or a removal.
@@ -376,7 +339,7 @@
 		}
 		x.line("plain told=%s %s", number(notifiedAfter), watchTimeoutsLine(NewWatchTimeouts(notifiedAfter)))
 	}
-	compareGolden(t, "watching", x.String())
+	goldenfile.Compare(t, "watching", x.String(), "")
 }
 
 // pollPolicyTable writes the timeouts of one poll policy.
--- a/internal/decide/requesttable/golden_test.go
+++ b/internal/decide/requesttable/golden_test.go
@@ -1,22 +1,18 @@
 package requesttable
 
 import (
-	"flag"
 	"fmt"
 	"hash/fnv"
 	"math/rand"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 
 	"dillroute/internal/decide/outcome"
+	"dillroute/internal/goldenfile"
 	"dillroute/scheduler"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 // Sizes of a recording. The first steps are recorded in full, the others as a running hash.
 const (
 	goldenSteps        = 4000
@@ -553,38 +549,8 @@
 	}
 }
 
-// compareGolden compares a recording with its golden file. With -update it writes the file.
-func compareGolden(t *testing.T, name string, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name+".txt")
-	if *update {
-		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	want, have := strings.Split(string(data), "\n"), strings.Split(got, "\n")
-	for i := range max(len(want), len(have)) {
-		w, h := "(end)", "(end)"
-		if i < len(want) {
-			w = want[i]
-		}
-		if i < len(have) {
-			h = have[i]
-		}
-		if w != h {
-			t.Fatalf("%s (setting-seed), line %d differs (a hash covers the %d steps up to its own):\nwant %s\ngot  %s", name, i+1,
-				goldenHashInterval, w, h)
-		}
-	}
-}
+// goldenNote explains the lines of a golden file.
+var goldenNote = fmt.Sprintf("(the name is setting-seed; a hash covers the %d steps up to its own)", goldenHashInterval)
 
 // The same inputs lead to the same events and commands as in the golden files.
 func TestCommandsMatchGoldenFiles(t *testing.T) {
@@ -592,7 +558,7 @@
 	for _, s := range goldenSettings() {
 		for _, seed := range []int64{1, 2, 3} {
 			name := fmt.Sprintf("%s-%d", s.name, seed)
-			t.Run(name, func(t *testing.T) { compareGolden(t, name, recordRun(t, s, seed, counts)) })
+			t.Run(name, func(t *testing.T) { goldenfile.Compare(t, name, recordRun(t, s, seed, counts), goldenNote) })
 		}
 	}
 	for _, k := range []string{"input request", "input send", "input ended", "input first", "input hangup", "input overdue",
--- a/internal/node/golden_chat_test.go
+++ b/internal/node/golden_chat_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"dillroute/internal/goldenfile"
 	"dillroute/lab/emulator"
 	"dillroute/lab/fleet"
 )
@@ -75,7 +76,7 @@
 		{name: "options of a path", request: goldenGet("OPTIONS", "/v1/chat/completions", "")},
 		{name: "options of the node", request: goldenGet("OPTIONS", "*", "")},
 	})
-	compareGolden(t, "chat_served", b.String())
+	goldenfile.Compare(t, "chat_served", b.String(), "")
 }
 
 // Requests that the node rejects as invalid.
@@ -136,7 +137,7 @@
 	}
 	var b strings.Builder
 	goldenRun(t, &b, harness.node.Addr().String(), taps, cases)
-	compareGolden(t, "chat_not_in_order", b.String())
+	goldenfile.Compare(t, "chat_not_in_order", b.String(), "")
 }
 
 // Faults of engines. Each case has a node and engines of its own.
@@ -166,7 +167,7 @@
 				request: goldenChat(goldenBody(c.class, c.stream, ""), "X-Request-Timeout-Ms: 3000\r\n")}})
 		})
 	}
-	compareGolden(t, "chat_faults", b.String())
+	goldenfile.Compare(t, "chat_faults", b.String(), "")
 }
 
 // Requests to a node that shuts down. The response without any engine is not covered: under load it may come from the request table
@@ -178,5 +179,5 @@
 		goldenShutdown(t, &b, harness.node.Addr().String(), goldenChat(goldenBody("chat", "true", ""), ""), taps,
 			func() { harness.node.Shutdown(2 * time.Second) }, harness.node.Ready)
 	})
-	compareGolden(t, "chat_refused", b.String())
+	goldenfile.Compare(t, "chat_refused", b.String(), "")
 }
--- a/internal/node/golden_relay_test.go
+++ b/internal/node/golden_relay_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"dillroute/internal/goldenfile"
 	"dillroute/internal/node"
 	"dillroute/internal/relay"
 	"dillroute/lab/platform"
@@ -101,7 +102,7 @@
 		{name: "readiness", request: "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"},
 		{name: "readiness, head alone", request: "HEAD /healthz HTTP/1.1\r\nHost: h\r\n\r\n"},
 	})
-	compareGolden(t, "relay_served", b.String())
+	goldenfile.Compare(t, "relay_served", b.String(), "")
 }
 
 // goldenChunked returns a request with its body in one chunk.
@@ -193,7 +194,7 @@
 	}
 	var b strings.Builder
 	goldenRun(t, &b, harness.node.Addr().String(), taps, cases)
-	compareGolden(t, "relay_not_in_order", b.String())
+	goldenfile.Compare(t, "relay_not_in_order", b.String(), "")
 }
 
 // Faults of engines. Each case has a node and engines of its own.
@@ -218,7 +219,7 @@
 				{name: "engine fails, " + c.class + ": " + string(c.fault), request: harness.goldenRelayRequest("f1", c.class)}})
 		})
 	}
-	compareGolden(t, "relay_faults", b.String())
+	goldenfile.Compare(t, "relay_faults", b.String(), "")
 }
 
 // Requests to a node that shuts down. The response without any engine is not covered: under load it has one of two texts.
@@ -236,5 +237,5 @@
 		goldenShutdown(t, &b, harness.node.Addr().String(), harness.goldenRelayRequest("s2", "chat"), taps,
 			func() { harness.node.Shutdown(200 * time.Millisecond) }, harness.node.Ready)
 	})
-	compareGolden(t, "relay_refused", b.String())
+	goldenfile.Compare(t, "relay_refused", b.String(), "")
 }
--- a/internal/node/golden_test.go
+++ b/internal/node/golden_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"bufio"
-	"flag"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -18,8 +15,6 @@
 	"time"
 )
 
-var update = flag.Bool("update", false, "rewrite the files under testdata/golden")
-
 // goldenMask replaces text that differs from run to run.
 type goldenMask struct {
 	name        string
@@ -343,37 +338,3 @@
 		}
 	}
 }
-
-// compareGolden compares a text with the golden file of the given name and fails the test at the first line that differs. With -update it
-// writes the file.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name+".txt")
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	content, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	wantLines, gotLines := strings.Split(string(content), "\n"), strings.Split(got, "\n")
-	section := ""
-	for i := range max(len(wantLines), len(gotLines)) {
-		w, g := "(no line)", "(no line)"
-		if i < len(wantLines) {
-			w = wantLines[i]
-		}
-		if i < len(gotLines) {
-			g = gotLines[i]
-		}
-		if strings.HasPrefix(w, "=== ") {
-			section = w
-		}
-		if w != g {
-			t.Fatalf("%s:%d, in the section %q:\nwant %s\ngot  %s", path, i+1, section, w, g)
-		}
-	}
-}
--- a/scheduler/golden_test.go
+++ b/scheduler/golden_test.go
@@ -2,18 +2,15 @@
 
 import (
 	"encoding/hex"
-	"flag"
 	"fmt"
 	"hash/fnv"
 	"math/rand"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
-)
 
-var update = flag.Bool("update", false, "rewrite the golden files")
+	"dillroute/internal/goldenfile"
+)
 
 // Sizes of a recording: its number of steps, the number of steps at its beginning that are written in full, and the interval, in steps,
 // at which a running hash of all steps is written after these.
@@ -508,38 +505,8 @@
 	}
 }
 
-// compareGolden compares a recording with its golden file or, with -update, writes the file.
-func compareGolden(t *testing.T, name string, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name+".txt")
-	if *update {
-		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	want, have := strings.Split(string(data), "\n"), strings.Split(got, "\n")
-	for i := range max(len(want), len(have)) {
-		w, h := "(end)", "(end)"
-		if i < len(want) {
-			w = want[i]
-		}
-		if i < len(have) {
-			h = have[i]
-		}
-		if w != h {
-			t.Fatalf("%s (setting-seed): line %d differs (a hash covers the %d steps up to its own):\nwant %s\ngot  %s", name, i+1,
-				goldenHashInterval, w, h)
-		}
-	}
-}
+// goldenNote explains the lines of a golden file.
+var goldenNote = fmt.Sprintf("(the name is setting-seed; a hash covers the %d steps up to its own)", goldenHashInterval)
 
 // For the same events, the scheduler returns the same actions as in the golden files, to the last digit.
 func TestActionsMatchGoldenFiles(t *testing.T) {
@@ -553,7 +520,7 @@
 				for k, n := range g.counts {
 					all[k] += n
 				}
-				compareGolden(t, name, g.text())
+				goldenfile.Compare(t, name, g.text(), goldenNote)
 			})
 		}
 	}
