--- a/internal/goldenfile/goldenfile.go
+++ b/internal/goldenfile/goldenfile.go
@@ -14,8 +14,8 @@
 // sectionPrefix begins a line that names the section of the lines that follow it.
 const sectionPrefix = "=== "
 
-// Compare compares a text with the golden file of a name, and fails the test at the first line that differs. With -update it writes the file
-// instead. The note explains the lines of the file; "" = they need no explanation.
+// Compare compares a text with the golden file of a name, and fails the test at the first line that differs. With -update it writes the
+// file instead. The note explains the lines of the file; "" = they need no explanation.
 func Compare(t testing.TB, name, got, note string) {
 	t.Helper()
 	path := filepath.Join("testdata", "golden", name+".txt")
--- a/internal/http1/events_test.go
+++ b/internal/http1/events_test.go
@@ -90,8 +90,11 @@
 // however its bytes arrive.
 func TestEventReaderReadsEveryFormInAnyPieces(t *testing.T) {
 	for _, form := range eventForms {
-		for pieces, reader := range map[string]io.Reader{"at once": strings.NewReader(form.in),
-			"byte by byte": iotest.OneByteReader(strings.NewReader(form.in)), "end with the last byte": iotest.DataErrReader(strings.NewReader(form.in))} {
+		for pieces, reader := range map[string]io.Reader{
+			"at once":                strings.NewReader(form.in),
+			"byte by byte":           iotest.OneByteReader(strings.NewReader(form.in)),
+			"end with the last byte": iotest.DataErrReader(strings.NewReader(form.in)),
+		} {
 			data, raw, comments, err := readEvents(reader, 1000)
 			if !slices.Equal(data, form.data) || !slices.Equal(comments, form.comments) || err != form.end {
 				t.Errorf("%s, %s: got events %q, comments %q and %v, want %q, %q and %v", form.name, pieces, data, comments, err, form.data,
@@ -151,7 +154,8 @@
 	}
 }
 
-// FuzzEventReader checks that the reader gives the same events and the same end for any body, however its bytes arrive, and keeps its limit.
+// FuzzEventReader checks that the reader gives the same events and the same end for any body, however its bytes arrive, and keeps its
+// limit.
 func FuzzEventReader(f *testing.F) {
 	for _, form := range eventForms {
 		f.Add(form.in)
@@ -164,7 +168,8 @@
 			return // where the limit is exceeded depends on the pieces
 		}
 		if !slices.Equal(data, dataByByte) || !slices.Equal(comments, commentsByByte) || err != errByByte {
-			t.Errorf("got %q, %q and %v at once, but %q, %q and %v byte by byte", data, comments, err, dataByByte, commentsByByte, errByByte)
+			t.Errorf("got %q, %q and %v at once, but %q, %q and %v byte by byte", data, comments, err, dataByByte, commentsByByte,
+				errByByte)
 		}
 		if strings.TrimSuffix(raw, "\n") != strings.TrimSuffix(rawByByte, "\n") {
 			t.Errorf("got the bytes %q at once, but %q byte by byte", raw, rawByByte)
--- a/internal/node/stream_forms_test.go
+++ b/internal/node/stream_forms_test.go
@@ -8,8 +8,8 @@
 	"dillroute/lab/record"
 )
 
-// A stream that ended with a bare comment line was cut off before its last chunk, although the client had its final event. A stream in any form
-// that the protocol and the standard of server-sent events allow must reach the client to its end.
+// A stream that ended with a bare comment line was cut off before its last chunk, although the client had its final event. A stream in any
+// form that the protocol and the standard of server-sent events allow must reach the client to its end.
 func TestRelayStreamsOfEveryValidFormAreForwardedToTheirEnd(t *testing.T) {
 	for _, form := range []platform.Fault{platform.NoFault, platform.CommentBlock, platform.CutComment, platform.SeveralComments,
 		platform.CRLFLines, platform.CRLines, platform.OtherFields, platform.HalfEventAfterFinal} {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// endOfStream returns the error that ends a stream: io.EOF if the stream is complete. After the final event, the standard discards what is left
-// of an event that the body does not end.
+// endOfStream returns the error that ends a stream: io.EOF if the stream is complete. After the final event, the standard discards what is
+// left of an event that the body does not end.
 func endOfStream(err error, begun, final bool) error {
 	switch {
 	case final && err == http1.ErrIncompleteEvent:
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -98,7 +98,8 @@
 // forward makes one attempt for a request.
 func (s *streamSource) forward(x *http1.Exchange) {
 	a := &attempt{engines: s.engines, id: "1eff", method: "POST", target: pathChat, body: []byte("{}"), client: x,
-		spec: protocol.AttemptSpec{Address: "engine", Stage: s.stage, Timeout: 2 * time.Second, ClientDeadline: time.Now().Add(2 * time.Second)}}
+		spec: protocol.AttemptSpec{Address: "engine", Stage: s.stage, Timeout: 2 * time.Second,
+			ClientDeadline: time.Now().Add(2 * time.Second)}}
 	result := a.Run(grantAlways{})
 	if result.Evidence.Cause != outcome.ResponseComplete {
 		x.AbortBody()
--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -165,8 +165,8 @@
 	return text, lines.Err()
 }
 
-// splitEventLines is a bufio.SplitFunc for the lines of server-sent events, which end with LF, CRLF or CR. Of a CRLF, the LF gives a line of its
-// own, which is empty.
+// splitEventLines is a bufio.SplitFunc for the lines of server-sent events, which end with LF, CRLF or CR. Of a CRLF, the LF gives a line
+// of its own, which is empty.
 func splitEventLines(data []byte, atEOF bool) (advance int, line []byte, err error) {
 	if i := bytes.IndexAny(data, "\r\n"); i >= 0 {
 		return i + 1, data[:i], nil
--- a/lab/platform/engine.go
+++ b/lab/platform/engine.go
@@ -79,9 +79,17 @@
 	e.faults = nil
 	address := e.address
 	e.mu.Unlock()
-	return e.listen(address)
+	for end := time.Now().Add(restartTime); ; time.Sleep(time.Millisecond) {
+		err := e.listen(address)
+		if err == nil || time.Now().After(end) { // until then, the port may serve a connection of another process
+			return err
+		}
+	}
 }
 
+// restartTime is how long an engine tries to listen at its address again.
+const restartTime = time.Second
+
 // StreamsStarted returns the number of streams that have begun.
 func (e *Engine) StreamsStarted() int {
 	e.mu.Lock()
--- a/lab/platform/fault.go
+++ b/lab/platform/fault.go
@@ -26,7 +26,7 @@
 	SeveralComments           Fault = "more comments" // valid: several comment lines, in chunks of their own, end the stream
 	CRLFLines                 Fault = "crlf"          // valid: lines end with CRLF
 	CRLines                   Fault = "cr"            // valid: lines end with CR
-	OtherFields               Fault = "fields"        // valid: events have more fields, no space after the colon, and a byte order mark first
+	OtherFields               Fault = "fields"        // valid: more fields, no space after the colon, a byte order mark first
 	HalfEventAfterFinal       Fault = "half after"    // valid: the stream ends with its last chunk, within an event after the final one
 	HalfFinalEvent            Fault = "half final"    // the stream ends with its last chunk, within its final event
 	HalfEvent                 Fault = "half event"    // the stream ends with its last chunk, within an event before the final one
--- a/scheduler/rules_test.go
+++ b/scheduler/rules_test.go
@@ -390,8 +390,8 @@
 	}
 }
 
-// Engines change their roles at any time, and the list says so at once or later. What an attempt may have done was judged by the role that the
-// list named when the attempt ended, and a request that must never run twice was sent again.
+// Engines change their roles at any time, and the list says so at once or later. What an attempt may have done was judged by the role that
+// the list named when the attempt ended, and a request that must never run twice was sent again.
 func TestRulesHoldWhileEnginesChangeRoles(t *testing.T) {
 	for seed := int64(1); seed <= 150; seed++ {
 		for _, listLate := range []bool{false, true} {
