--- a/internal/http1/events.go
+++ b/internal/http1/events.go
@@ -17,11 +17,12 @@
 	max      int
 	raw      []byte
 	data     []byte
-	begun    bool // the first line has been read; only that line may begin with a byte order mark
-	kept     int  // length of the raw bytes before the block that is being read
-	afterCR  bool // the last line ended with CR; an LF that follows belongs to that line ending
-	ended    bool // that line ended a block that stays in the raw bytes
-	dropped  bool // that line ended a block that was dropped from them
+
+	blockStart int  // length of the raw bytes before the block that is being read
+	begun      bool // the first line has been read; only that line may begin with a byte order mark
+	afterCR    bool // the last line ended with CR; an LF that follows belongs to that line ending
+	ended      bool // that line ended a block that stays in the raw bytes
+	dropped    bool // that line ended a block that was dropped from them
 }
 
 // Errors of an EventReader.
@@ -65,7 +66,7 @@
 		e.raw, e.data = nil, nil
 	}
 	e.raw, e.data = e.raw[:0], e.data[:0]
-	e.kept = 0
+	e.blockStart = 0
 	var current block
 	for {
 		line, err := e.readLine()
@@ -85,10 +86,10 @@
 			return e.data, e.raw, nil
 		case current.hasField:
 			e.ended = e.afterCR
-			e.kept = len(e.raw)
+			e.blockStart = len(e.raw)
 		default:
 			e.dropped = e.afterCR
-			e.raw = e.raw[:e.kept]
+			e.raw = e.raw[:e.blockStart]
 		}
 		current = block{}
 	}
@@ -166,7 +167,7 @@
 		case e.dropped:
 			e.raw = e.raw[:len(e.raw)-1]
 		case e.ended:
-			e.kept = len(e.raw)
+			e.blockStart = len(e.raw)
 		}
 	}
 	e.afterCR, e.ended, e.dropped = false, false, false
@@ -193,8 +194,8 @@
 	return line
 }
 
-// endOfLine returns the length of the line at the start of b and that of its ending: LF, CRLF or CR. The ending is 0 if b holds no end of the
-// line. Of a CRLF that b cuts in two, it is the CR.
+// endOfLine returns the length of the line at the start of b and that of its ending: LF, CRLF or CR. The ending is 0 if b holds no end of
+// the line. Of a CRLF that b cuts in two, it is the CR.
 func endOfLine(b []byte) (length, ending int) {
 	length = bytes.IndexByte(b, '\n')
 	if length < 0 {
--- a/internal/http1/events_test.go
+++ b/internal/http1/events_test.go
@@ -68,7 +68,8 @@
 		comments: []string{": one", ":two", ":", ": three"}, end: io.EOF},
 	{name: "comments between events", in: ": one\n\ndata: a\n\n: two\n\ndata: b\n\n", data: []string{"a", "b"},
 		raw: "data: a\n\ndata: b\n\n", comments: []string{": one", ": two"}, end: io.EOF},
-	{name: "comment within an event", in: "data: a\n: note\ndata: b\n\n", data: []string{"a\nb"}, comments: []string{": note"}, end: io.EOF},
+	{name: "comment within an event", in: "data: a\n: note\ndata: b\n\n", data: []string{"a\nb"}, comments: []string{": note"},
+		end: io.EOF},
 	{name: "other fields of an event", in: "event: x\nid: 7\nretry: 10\ndata: a\n\n", data: []string{"a"}, end: io.EOF},
 	{name: "fields without data before an event", in: "retry: 10\n\n: note\n\nid: 7\n\ndata: a\n\n", data: []string{"a"},
 		raw: "retry: 10\n\nid: 7\n\ndata: a\n\n", comments: []string{": note"}, end: io.EOF},
@@ -86,8 +87,8 @@
 	{name: "field without its empty line", in: "data: a\n\nid: 7\n", data: []string{"a"}, raw: "data: a\n\n", end: ErrIncompleteEvent},
 }
 
-// A stream whose last line was a comment with nothing behind it counted as cut off. The reader must read each form of a stream in the same way
-// however its bytes arrive.
+// A stream whose last line was a comment with nothing behind it counted as cut off. The reader must read each form of a stream in the same
+// way however its bytes arrive.
 func TestEventReaderReadsEveryFormInAnyPieces(t *testing.T) {
 	for _, form := range eventForms {
 		for pieces, reader := range map[string]io.Reader{
--- a/lab/soak/fault.go
+++ b/lab/soak/fault.go
@@ -19,6 +19,7 @@
 	"watches":   breakWatches,
 	"drain":     drainEngine,
 	"replace":   replaceEngine,
+	"role":      changeRole,
 	"hang":      hangEngine,
 	"stall":     stallDecodeEngines,
 	"restart":   restartEngine,
--- a/lab/soak/fault_discovery.go
+++ b/lab/soak/fault_discovery.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -67,3 +68,37 @@
 	t.pause(0, time.Second)
 	t.fleet.engine(id).Stop()
 }
+
+// Times of a change of role.
+const (
+	maxRoleLag  = 4 * time.Second // from the restart of an engine with another role until the list names the role
+	maxRoleTime = 3 * time.Second // from then until the engine gets its first role back
+)
+
+// changeRole restarts an engine with another role, and lists the role some time later. Then it does the same to give back the first role.
+func changeRole(t *injection) {
+	id := t.drawReplaceableEngine()
+	if id == "" {
+		return
+	}
+	first := t.fleet.engine(id).Role()
+	roles := slices.DeleteFunc([]string{"read", "write", "both"}, func(role string) bool { return role == first })
+	t.restartAs(id, roles[t.rng.IntN(len(roles))])
+	t.pause(0, maxRoleTime)
+	t.restartAs(id, first)
+}
+
+// restartAs restarts an engine with another role, and lists the role some time later, as that of a new start.
+func (t *injection) restartAs(id, role string) {
+	if err := t.fleet.engine(id).RestartAs(role); err != nil {
+		t.fleet.report("setup", "%v", err)
+		return
+	}
+	started := time.Now().UnixMilli()
+	t.note("as %s", role)
+	t.pause(0, maxRoleLag)
+	t.fleet.registry.Update(id, func(e *platform.Endpoint) {
+		e.Kind = role
+		e.Started = started
+	})
+}
