--- a/internal/decide/requesttable/attempts.go
+++ b/internal/decide/requesttable/attempts.go
@@ -248,6 +248,7 @@
 	evidence.Stage = a.stage
 	evidence.ConfirmedElsewhere = code != 0 && code == evidence.Code
 	evidence.LastAttempt = t.attemptsLeft(record) <= 0
+	evidence.PrefillProcess = evidence.PrefillProcess && t.prefillsSince(a.engine, a.sentAt)
 	if wasStreaming {
 		evidence.Progress = outcome.Streaming
 	}
--- a/internal/decide/requesttable/attempts_test.go
+++ b/internal/decide/requesttable/attempts_test.go
@@ -242,6 +242,28 @@
 	}
 }
 
+// What a connection has carried before proves nothing about an attempt during which the list has changed the role of the engine, also if it
+// has changed it back.
+func TestAtMostOnceIsNotRepeatedAfterRoleChangedDuringPrefill(t *testing.T) {
+	for _, kinds := range [][]int{{1}, {1, 0}} {
+		table := newTable()
+		table.AddRequest(1, newRequest("a", atMostOnce), 0)
+		n := startAttempt(t, table, 1, "a", "r0")
+		for _, kind := range kinds {
+			table.UpdateEndpoints(1.05, scheduler.EndpointUpdate{Form: scheduler.UpdateIncremental,
+				Engines: []scheduler.Engine{{ID: "r0", Kind: kind}}})
+		}
+		evidence := writtenBroken
+		evidence.PrefillProcess = true
+		table.AttemptEnded(1.1, "a", n, evidence, nil)
+		table.DrainCommands()
+		table.Apply(1.2, scheduler.Send{ID: "a", Engine: "r1"})
+		if starts := commandsOf[StartAttempt](table); len(starts) != 0 {
+			t.Errorf("kinds %v: got the repeat %v, want none", kinds, starts)
+		}
+	}
+}
+
 // A prefill that the scheduler cancels proves nothing if its engine may have become one that runs the request. The host must leave such an
 // attempt of an at-most-once request alone, and the attempt may still respond.
 func TestCancellationOfPrefillIsLeftToHostForAtMostOnce(t *testing.T) {
--- a/internal/decide/requesttable/endpoints.go
+++ b/internal/decide/requesttable/endpoints.go
@@ -11,6 +11,16 @@
 	cell  int
 	zone  int
 	role  scheduler.Role
+	// roleSince is when the endpoint list changed the role (s); 0 = never since the engine is known.
+	roleSince float64
+}
+
+// setRole sets the role, and updates roleSince only if the role differs.
+func (e *engineRecord) setRole(now float64, role scheduler.Role) {
+	if e.role != role {
+		e.role = role
+		e.roleSince = now
+	}
 }
 
 // setState sets the state, and updates since only if the state differs.
@@ -21,6 +31,12 @@
 	}
 }
 
+// prefillsSince reports whether the endpoint list has named an engine as a prefill engine ever since a time.
+func (t *Table) prefillsSince(id string, since float64) bool {
+	engine := t.engines[id]
+	return engine != nil && engine.role == scheduler.Prefill && engine.roleSince <= since
+}
+
 // UpdateEndpoints applies an update of the endpoint list before the scheduler receives it, so that both know the same engines.
 func (t *Table) UpdateEndpoints(now float64, update scheduler.EndpointUpdate) {
 	if update.Form == scheduler.UpdateFailed {
@@ -46,15 +62,19 @@
 // updateEngine applies one entry of the endpoint list.
 func (t *Table) updateEngine(now float64, engine scheduler.Engine) {
 	record := t.engines[engine.ID]
+	known := engine.Kind >= 0 && engine.Kind < len(t.kinds)
 	if record == nil {
 		record = &engineRecord{since: now}
 		t.engines[engine.ID] = record
+		if known {
+			record.role = t.kinds[engine.Kind].Role
+		}
 	}
 	record.setState(now, engine.State)
 	record.cell = engine.Cell
 	record.zone = engine.Zone
-	if engine.Kind >= 0 && engine.Kind < len(t.kinds) {
-		record.role = t.kinds[engine.Kind].Role
+	if known {
+		record.setRole(now, t.kinds[engine.Kind].Role)
 	}
 }
 
