Do not pass on a stream on a connection that has brought a finished prefill

On a connection that has brought a 202 it may be a late second response to an earlier request (STANDING, join), and the client would get what no engine made for its request.

Change: such a stream is a malformed response of an attempt that may have run. An engine that restarts as another kind begins with new connections, so its streams are still passed on.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -25,16 +25,22 @@
 	errNoStream     = errors.New("relay: status 200 without a stream")
 	errNoEvent      = errors.New("relay: stream without an event")
 	errNoFinalEvent = errors.New("relay: stream ended without its final event")
+	// errStrayStream means that a process that has finished prefills responds to one with a stream: a late second response to an earlier
+	// request, or the response to this one. Nothing in it names its request.
+	errStrayStream = errors.New("relay: stream in response to a prefill, on a connection with a finished prefill")
 )
 
 // streamResponse forwards the stream of the engine to the client.
 func (a *attempt) streamResponse(conn *http1.ClientConn, response *http1.Response, observer protocol.AttemptObserver,
 	result *protocol.Result) {
 	result.Evidence.DecodeHeader = true
-	if isStream(response) {
-		result.Evidence.Cause, result.Err = a.forwardEvents(conn, response, observer, result)
-	} else {
+	switch {
+	case !isStream(response):
 		result.Evidence.Cause, result.Err = outcome.MalformedResponse, errNoStream
+	case a.spec.Stage == outcome.Prefill && result.Evidence.PrefillProcess:
+		result.Evidence.Cause, result.Err = outcome.MalformedResponse, errStrayStream
+	default:
+		result.Evidence.Cause, result.Err = a.forwardEvents(conn, response, observer, result)
 	}
 	a.Detach()
 	if result.Evidence.Cause != outcome.ResponseComplete {
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -32,6 +32,7 @@
 	node    net.Listener
 	engine  net.Listener
 	stage   outcome.Stage
+	first   string // response to the first request on a connection; "" = the stream
 	results chan protocol.Result
 	conns   chan net.Conn // connections that the engine has accepted
 }
@@ -39,7 +40,13 @@
 // newStreamSource starts an engine that answers with the given chunks, and a node that forwards each request to it.
 func newStreamSource(t *testing.T, stage outcome.Stage, chunks ...string) *streamSource {
 	t.Helper()
-	s := &streamSource{t: t, stage: stage, results: make(chan protocol.Result, 8), conns: make(chan net.Conn, 8)}
+	return newStreamSourceAfter(t, "", stage, chunks...)
+}
+
+// newStreamSourceAfter is newStreamSource with another response to the first request on each connection.
+func newStreamSourceAfter(t *testing.T, first string, stage outcome.Stage, chunks ...string) *streamSource {
+	t.Helper()
+	s := &streamSource{t: t, first: first, stage: stage, results: make(chan protocol.Result, 8), conns: make(chan net.Conn, 8)}
 	s.engine, s.node = listen(t), listen(t)
 	go s.serveEngine(chunks)
 	s.engines = NewEngines(&settings.Settings{ConnectTimeout: 1, EngineIdleTimeout: 30}, 8,
@@ -78,12 +85,16 @@
 		go func() {
 			defer c.Close()
 			reader := bufio.NewReader(c)
-			for {
+			for n := 0; ; n++ {
 				r, err := http.ReadRequest(reader)
 				if err != nil {
 					return
 				}
 				io.Copy(io.Discard, r.Body)
+				if n == 0 && s.first != "" {
+					io.WriteString(c, s.first)
+					continue
+				}
 				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 				for _, chunk := range chunks {
 					fmt.Fprintf(c, "%x\r\n%s\r\n", len(chunk), chunk)
@@ -101,8 +112,13 @@
 		spec: protocol.AttemptSpec{Address: "engine", Stage: s.stage, Timeout: 2 * time.Second,
 			ClientDeadline: time.Now().Add(2 * time.Second)}}
 	result := a.Run(grantAlways{})
-	if result.Evidence.Cause != outcome.ResponseComplete {
+	switch {
+	case result.Evidence.ResponseKind == outcome.PrefillDone:
+		x.Reply(202, nil, nil)
+	case result.Evidence.Cause != outcome.ResponseComplete && x.Begun():
 		x.AbortBody()
+	case result.Evidence.Cause != outcome.ResponseComplete:
+		x.Reply(500, nil, nil)
 	}
 	s.results <- result
 }
@@ -177,3 +193,22 @@
 		})
 	}
 }
+
+// A late second response to an earlier request looks like the response to a prefill on the same connection. It must not reach the client of that
+// request, which may have run all the same if the engine has become one that decodes.
+func TestStreamOnConnectionWithFinishedPrefillIsNotForwarded(t *testing.T) {
+	s := newStreamSourceAfter(t, "HTTP/1.1 202 x\r\nContent-Length: 0\r\n\r\n", outcome.Prefill, firstEvent, doneEvent)
+	if _, _, result := s.request(); result.Evidence.ResponseKind != outcome.PrefillDone {
+		t.Fatalf("got %+v, want a finished prefill", result.Evidence)
+	}
+	time.Sleep(minIdleTime + 20*time.Millisecond)
+	body, _, result := s.request()
+	evidence := result.Evidence
+	evidence.Stage = outcome.Prefill
+	if body != "" || evidence.Cause != outcome.MalformedResponse || !outcome.Classify(evidence).MayHaveRun {
+		t.Errorf("the client got %q; got the evidence %+v, want a malformed response of an attempt that may have run", body, evidence)
+	}
+	if n := len(s.conns); n != 1 {
+		t.Errorf("got %d connections, want one", n)
+	}
+}
