--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -194,8 +194,8 @@
 	}
 }
 
-// A late second response to an earlier request looks like the response to a prefill on the same connection. It must not reach the client of that
-// request, which may have run all the same if the engine has become one that decodes.
+// A late second response to an earlier request looks like the response to a prefill on the same connection. It must not reach the client of
+// that request, which may have run all the same if the engine has become one that decodes.
 func TestStreamOnConnectionWithFinishedPrefillIsNotForwarded(t *testing.T) {
 	s := newStreamSourceAfter(t, "HTTP/1.1 202 x\r\nContent-Length: 0\r\n\r\n", outcome.Prefill, firstEvent, doneEvent)
 	if _, _, result := s.request(); result.Evidence.ResponseKind != outcome.PrefillDone {
