Rule checker: an attempt that is out counts for all states of its call

Trace: write-5 had restarted as a prefill engine and answered a decode attempt with 202, so the call had two states; its next attempt was out at write-7, which hung from 3.648 to 6.371 s, and at 6.373 s it fetched one state and both ended.

The checker bound an attempt to the one state that its record names, of which the stand-in names any, so this check was wrong for a call with two states.

Change: decode attempts count for their call, by engine. It is as strict as before otherwise: the others must go within the limit once the attempt has ended, and once it has fetched a state (its stream does not hold the limit up); attempts of other calls count for nothing.

--- a/lab/emulator/kvstate.go
+++ b/lab/emulator/kvstate.go
@@ -141,7 +141,7 @@
 	if !sleep(r.Context(), seconds(transfer)) {
 		return
 	}
-	e.endState(p, id, "fetched")
+	e.endState(p, id, record.StateFetched)
 	json.NewEncoder(w).Encode(map[string]any{"digest": state.digest, "tokens": state.tokens})
 }
 
--- a/lab/platform/exchange.go
+++ b/lab/platform/exchange.go
@@ -177,7 +177,7 @@
 	case InterimResponses:
 		x.write("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n")
 	}
-	platform.releaseStates(x.call, "fetched")
+	platform.releaseStates(x.call, record.StateFetched)
 	return x.stream()
 }
 
--- a/lab/record/record.go
+++ b/lab/record/record.go
@@ -154,3 +154,6 @@
 // ResponseLost is the note of a StateReserved record if the engine answered the prefill on a connection that no longer carries data. The
 // attempt is in flight until its node closes that connection, which ends the attempt.
 const ResponseLost = "response lost"
+
+// StateFetched is the note of a StateEnded record if an attempt has fetched the state.
+const StateFetched = "fetched"
--- a/lab/rules/checker.go
+++ b/lab/rules/checker.go
@@ -93,7 +93,7 @@
 		operations: &operationRules{config: config, findings: found, kills: kills, operations: map[string]*operation{}},
 		drain:      &drainRule{config: config, findings: found, delivered: map[nodeEngine]record.Record{}},
 		slowStart:  newSlowStartRule(config, found),
-		states:     &stateReleaseRule{config: config, findings: found, kills: kills, reserved: map[string]*reservedState{}},
+		states:     newStateReleaseRule(config, found, kills),
 	}
 }
 
