--- a/internal/node/role_change_test.go
+++ b/internal/node/role_change_test.go
@@ -198,8 +198,8 @@
 	harness.requireNoViolations()
 }
 
-// A request leaves two states: one at its prefill engine, one at a decode engine that has become a prefill engine. While its next attempt is
-// out at an engine that hangs, both may wait; when it is served, both must be gone.
+// A request leaves two states: one at its prefill engine, one at a decode engine that has become a prefill engine. While its next attempt
+// is out at an engine that hangs, both may wait; when it is served, both must be gone.
 func TestRelayStatesOfTwoPrefillsWaitForOneAttempt(t *testing.T) {
 	harness, engines := newRelayHarness(t, 64, 256, "r0 read", "w0 write", "w1 write")
 	for range 3 {
