--- a/lab/rules/staterelease_test.go
+++ b/lab/rules/staterelease_test.go
@@ -81,7 +81,8 @@
 			fetch(record.AttemptArrived, 101.2, "a"), ended(101.3, "r", record.StateFetched), ended(101.3, "q", "released")}, true},
 		{"an attempt of another call", []record.Record{reserved(100, "r"), reserved(100, "q"), ended(100.5, "r", "released"),
 			fetch(record.AttemptArrived, 100.1, "b"), ended(103, "q", "released")}, true},
-		{"no attempt", []record.Record{reserved(100, "r"), reserved(100, "q"), ended(100.5, "r", "released"), ended(103, "q", "released")}, true},
+		{"no attempt", []record.Record{reserved(100, "r"), reserved(100, "q"), ended(100.5, "r", "released"),
+			ended(103, "q", "released")}, true},
 	} {
 		found := rules.Check(c.records, rules.Config{StateReleaseLimit: limit, Skew: skew})
 		broken := false
