--- a/lab/knownfailures/list.go
+++ b/lab/knownfailures/list.go
@@ -38,12 +38,12 @@
 	return text
 }
 
-// parseKnownFailures parses the text of KNOWN-RED.txt and skips empty lines. An error in a line contains its number.
+// parseKnownFailures parses the lines of tests in the text of KNOWN-RED.txt. An error in a line contains its number.
 func parseKnownFailures(text string) ([]knownFailure, error) {
 	var known []knownFailure
 	for i, line := range strings.Split(text, "\n") {
 		line = strings.TrimSpace(line)
-		if line == "" {
+		if line == "" || isCommandLine(line) {
 			continue
 		}
 		failure, err := parseKnownFailure(line)
