--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -123,8 +123,8 @@
 	s.results <- result
 }
 
-// request sends a request and returns the body that the client got, the error with which it ended, and the attempt's result.
-func (s *streamSource) request() (body string, err error, result protocol.Result) {
+// request sends a request and returns the body that the client got, the attempt's result, and the error with which the body ended.
+func (s *streamSource) request() (body string, result protocol.Result, err error) {
 	s.t.Helper()
 	response, err := http.Post("http://"+s.node.Addr().String()+pathChat, "application/json", strings.NewReader("{}"))
 	if err != nil {
@@ -132,7 +132,7 @@
 	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
-	return string(text), err, <-s.results
+	return string(text), <-s.results, err
 }
 
 const (
@@ -158,7 +158,7 @@
 			for _, stage := range []outcome.Stage{outcome.Decode, outcome.Prefill} {
 				s := newStreamSource(t, stage, chunks...)
 				for range 2 {
-					body, err, result := s.request()
+					body, result, err := s.request()
 					withoutReport := strings.ReplaceAll(body, reportLine+"\n", "")
 					if err != nil || withoutReport != firstEvent+doneEvent {
 						t.Errorf("%v: the client got %q and %v, want %q to its end", stage, body, err, firstEvent+doneEvent)
@@ -186,7 +186,7 @@
 		"comment alone after the events":     {firstEvent, reportLine + "\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			body, err, result := newStreamSource(t, outcome.Decode, chunks...).request()
+			body, result, err := newStreamSource(t, outcome.Decode, chunks...).request()
 			if err == nil || result.Evidence.Cause != outcome.ConnectionBroken {
 				t.Errorf("the client got %q and %v, the attempt ended with %v, want a broken stream", body, err, result.Evidence.Cause)
 			}
@@ -198,11 +198,11 @@
 // that request, which may have run all the same if the engine has become one that decodes.
 func TestStreamOnConnectionWithFinishedPrefillIsNotForwarded(t *testing.T) {
 	s := newStreamSourceAfter(t, "HTTP/1.1 202 x\r\nContent-Length: 0\r\n\r\n", outcome.Prefill, firstEvent, doneEvent)
-	if _, _, result := s.request(); result.Evidence.ResponseKind != outcome.PrefillDone {
+	if _, result, _ := s.request(); result.Evidence.ResponseKind != outcome.PrefillDone {
 		t.Fatalf("got %+v, want a finished prefill", result.Evidence)
 	}
 	time.Sleep(minIdleTime + 20*time.Millisecond)
-	body, _, result := s.request()
+	body, result, _ := s.request()
 	evidence := result.Evidence
 	evidence.Stage = outcome.Prefill
 	if body != "" || evidence.Cause != outcome.MalformedResponse || !outcome.Classify(evidence).MayHaveRun {
