--- a/internal/node/role_change_test.go
+++ b/internal/node/role_change_test.go
@@ -12,7 +12,7 @@
 func (h *relayHarness) restartAs(role string, engines ...*platform.Engine) {
 	h.t.Helper()
 	for _, e := range engines {
-		e.LocalPrefill = true
+		e.SetLocalPrefill(true)
 		if err := e.RestartAs(role); err != nil {
 			h.t.Fatal(err)
 		}
--- a/lab/platform/engine.go
+++ b/lab/platform/engine.go
@@ -20,12 +20,12 @@
 	ID            string
 	TokenInterval time.Duration // between two events of a stream
 	PrefillTime   time.Duration // of one prompt
-	LocalPrefill  bool          // as an engine that decodes, it prefills a request without a state itself
 
 	platform *Platform
 
 	mu               sync.Mutex // guards the fields below
 	role             string     // read, write or both
+	localPrefill     bool       // as a decode engine, it prefills a request without a state itself
 	address          string
 	listener         net.Listener
 	conns            map[net.Conn]bool
@@ -69,6 +69,20 @@
 	return e.role
 }
 
+// SetLocalPrefill sets whether the engine, as a decode engine, prefills a request without a state itself.
+func (e *Engine) SetLocalPrefill(on bool) {
+	e.mu.Lock()
+	e.localPrefill = on
+	e.mu.Unlock()
+}
+
+// needsState reports whether a decode attempt at the engine needs a state that another engine has prefilled.
+func (e *Engine) needsState() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.role == roleDecode && !e.localPrefill
+}
+
 // RestartAs ends the engine like Stop, and starts it again at the same address with another role. The endpoint list is not changed. Faults
 // that are queued, and the states that the engine holds, are lost.
 func (e *Engine) RestartAs(role string) error {
--- a/lab/platform/exchange.go
+++ b/lab/platform/exchange.go
@@ -97,7 +97,7 @@
 	if role == rolePrefill {
 		return x.servePrefill() && x.awaitNext()
 	}
-	return x.serveDecode(role) && x.awaitNext()
+	return x.serveDecode() && x.awaitNext()
 }
 
 // stopWaiting records that the attempt no longer waits for the state of its call.
@@ -146,16 +146,15 @@
 
 // serveDecode generates the response of a decode attempt. If the attempt needs a reserved state and there is none, it responds with
 // status 410.
-func (x *exchange) serveDecode(role string) bool {
+func (x *exchange) serveDecode() bool {
 	platform := x.engine.platform
-	needsState := role == roleDecode && !x.engine.LocalPrefill
 	switch {
 	case x.fault == Rejection:
 		return x.reject(http.StatusServiceUnavailable)
 	case x.fault == IncompleteRejection:
 		x.stopWaiting()
 		return x.respondIncomplete("503 x\r\nX-Rejected: 1")
-	case x.fault == StateMissing || needsState && platform.stateHolder(x.call) == "":
+	case x.fault == StateMissing || x.engine.needsState() && platform.stateHolder(x.call) == "":
 		platform.releaseStates(x.call, "lost")
 		return x.reject(http.StatusGone)
 	}
