--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -26,8 +26,9 @@
 	platform  *platform.Platform
 	discovery *platform.Discovery
 	engines   []*platform.Engine
-	folder    string // temporary
-	address   string // of the node's listener
+	folder    string                        // temporary
+	config    func(discovery string) []byte // text of the node's configuration file
+	address   string                        // of the node's listener
 	command   *exec.Cmd
 	ended     chan struct{} // closed when the node's process has ended
 	started   time.Time
@@ -39,6 +40,7 @@
 
 var cases = map[string]func(*world){
 	"accept": acceptCase,
+	"reload": reloadCase,
 }
 
 func main() {
@@ -108,21 +110,35 @@
 	return ""
 }
 
-// startNode writes the configuration and starts the node, and waits until it is ready.
+// configPath returns the path of the node's configuration file.
+func (w *world) configPath() string { return filepath.Join(w.folder, "config.json") }
+
+// writeConfig replaces the node's configuration file by one that names an address of discovery.
+func (w *world) writeConfig(discovery string) {
+	if err := platform.WriteConfig(w.configPath(), w.config(discovery)); err != nil {
+		cannotRun(err)
+	}
+}
+
+// startNode starts the node with the address of the discovery stand-in.
 func (w *world) startNode(settings string, memoryMB, sockets int) {
+	w.startNodeAt(settings, memoryMB, sockets, w.discovery.Address())
+}
+
+// startNodeAt writes the configuration and starts the node, and waits until it is ready.
+func (w *world) startNodeAt(settings string, memoryMB, sockets int, discovery string) {
 	w.address = freeAddress()
-	config := filepath.Join(w.folder, "config.json")
-	text := platform.ConfigText(settings, w.address, w.discovery.Address(), w.discovery.Snapshot(), memoryMB, sockets)
-	if err := platform.WriteConfig(config, text); err != nil {
-		cannotRun(err)
+	w.config = func(discovery string) []byte {
+		return platform.ConfigText(settings, w.address, discovery, w.discovery.Snapshot(), memoryMB, sockets)
 	}
+	w.writeConfig(discovery)
 	log, err := os.Create(filepath.Join(w.folder, "node.log"))
 	if err != nil {
 		cannotRun(err)
 	}
 	w.command = exec.Command("/bin/sh", "-c", runLine())
-	w.command.Env = append(os.Environ(), "RELAY_NAME=n0", "RELAY_LISTEN="+w.address, "RELAY_DISCOVERY="+w.discovery.Address(),
-		"RELAY_CONFIG="+config)
+	w.command.Env = append(os.Environ(), "RELAY_NAME=n0", "RELAY_LISTEN="+w.address, "RELAY_DISCOVERY="+discovery,
+		"RELAY_CONFIG="+w.configPath())
 	w.command.Stdout, w.command.Stderr = log, log
 	w.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := w.command.Start(); err != nil {
