--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -28,6 +28,7 @@
 	engines   []*platform.Engine
 	folder    string                        // temporary
 	config    func(discovery string) []byte // text of the node's configuration file
+	known     func() []byte                 // the list that the node starts with; nil = that of discovery
 	address   string                        // of the node's listener
 	command   *exec.Cmd
 	ended     chan struct{} // closed when the node's process has ended
@@ -41,8 +42,12 @@
 var cases = map[string]func(*world){
 	"accept": acceptCase,
 	"reload": reloadCase,
+	"role":   roleCase,
 }
 
+// defaultSettings are the settings of a small deployment: the classes chat (repeatable) and commit (once), deadlines of 4 s.
+const defaultSettings = platform.SettingsJSON
+
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE RECORD")
@@ -129,7 +134,11 @@
 func (w *world) startNodeAt(settings string, memoryMB, sockets int, discovery string) {
 	w.address = freeAddress()
 	w.config = func(discovery string) []byte {
-		return platform.ConfigText(settings, w.address, discovery, w.discovery.Snapshot(), memoryMB, sockets)
+		known := w.discovery.Snapshot
+		if w.known != nil {
+			known = w.known
+		}
+		return platform.ConfigText(settings, w.address, discovery, known(), memoryMB, sockets)
 	}
 	w.writeConfig(discovery)
 	log, err := os.Create(filepath.Join(w.folder, "node.log"))
