--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -43,6 +43,7 @@
 	"accept": acceptCase,
 	"reload": reloadCase,
 	"role":   roleCase,
+	"pause":  pauseCase,
 }
 
 // defaultSettings are the settings of a small deployment: the classes chat (repeatable) and commit (once), deadlines of 4 s.
