Review case 9: an attempt is begun for a client that sent much and went

From an open risk of docs/design/endings.md. A client sends requests without waiting until its machine takes no more, and closes its connection; the node begins the next attempt 0.3 s after the close.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -43,6 +43,7 @@
 	"accept": acceptCase,
 	"reload": reloadCase,
 	"role":   roleCase,
+	"gone":   goneCase,
 	"pause":  pauseCase,
 }
 
