--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -40,11 +40,11 @@
 }
 
 var cases = map[string]func(*world){
-	"accept": acceptCase,
-	"reload": reloadCase,
-	"role":   roleCase,
-	"gone":   goneCase,
-	"pause":  pauseCase,
+	"accept":   acceptCase,
+	"role":     roleCase,
+	"gone":     goneCase,
+	"pause":    pauseCase,
+	"pipeline": pipelineCase,
 }
 
 // defaultSettings are the settings of a small deployment: the classes chat (repeatable) and commit (once), deadlines of 4 s.
