--- a/review/stand-2/gone.go
+++ b/review/stand-2/gone.go
@@ -15,7 +15,7 @@
 
 const (
 	goneClients  = 10
-	goneRequests = 60                     // requests that a client sends at once
+	goneRequests = 200                    // requests that a client has to send at once; its machine takes a part of them
 	goneBody     = 250 << 10              // bytes of a body; a body holds at most 256 KiB
 	goneSending  = 200 * time.Millisecond // a client goes when it can send no more, or after this time
 	goneRead     = 500 * time.Millisecond // a reader reads a prompt
@@ -58,7 +58,7 @@
 	if trouble() {
 		requests = goneRequests
 	}
-	text := ""
+	var text strings.Builder
 	for i := range requests {
 		r := platform.Request{Operation: fmt.Sprintf("%s.%d", name, i), Class: "commit", Tenant: "branch", Session: name, ResponseTokens: 20,
 			Timeout: 4 * time.Second, ID: fmt.Sprintf("%016x", calls.Add(1))}
@@ -66,14 +66,14 @@
 		if i > 0 {
 			r.Operation = strings.Repeat("x", goneBody) // the prompt
 		}
-		text += r.Encode()
+		text.WriteString(r.Encode())
 	}
 	conn, err := net.Dial("tcp", w.address)
 	if err != nil {
 		cannotRun(err)
 	}
 	conn.SetWriteDeadline(time.Now().Add(goneSending))
-	n, _ := io.WriteString(conn, text)
+	n, _ := io.WriteString(conn, text.String())
 	if !trouble() {
 		time.Sleep(goneSending) // as long as the client that sends much
 	}
