Log long scheduler steps and count the evaluations of engines in a step

A step of 0.05 s or more is now logged with its events, actions, open requests, engines and evaluations, and a histogram counts the evaluations.

--- a/internal/node/eventloop.go
+++ b/internal/node/eventloop.go
@@ -35,9 +35,17 @@
 	observeLag(now, delay float64)
 }
 
-// stepObserver receives the duration of each scheduler step (s).
+// schedulerStep describes one call of the scheduler.
+type schedulerStep struct {
+	seconds float64
+	events  int // passed to the scheduler
+	actions int // returned by the scheduler
+	load    scheduler.PassLoad
+}
+
+// stepObserver receives a description of each scheduler step.
 type stepObserver interface {
-	observeStep(seconds float64)
+	observeStep(step schedulerStep)
 }
 
 // task is a function that the event loop runs on its goroutine, mostly to report an event on a socket to the request table. now is the
@@ -193,7 +201,12 @@
 	actions, err := l.callScheduler(now, events)
 	took := time.Since(start).Seconds()
 	l.owned.dispatch.RecordPass(now, took)
-	l.stepObserver.observeStep(took)
+	l.stepObserver.observeStep(schedulerStep{
+		seconds: took,
+		events:  len(events),
+		actions: len(actions),
+		load:    l.owned.scheduler.LastPass(),
+	})
 	if err != nil {
 		l.host.schedulerFailed(err)
 		return
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -38,6 +38,7 @@
 	releaseCalls        *prometheus.CounterVec
 	timeToFirstToken    prometheus.Histogram
 	stepSeconds         prometheus.Histogram
+	stepEvaluations     prometheus.Histogram
 }
 
 func newMetrics() *metrics {
@@ -73,9 +74,14 @@
 			Help:    "Duration of one scheduler step.",
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
+		stepEvaluations: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "dillroute_scheduler_step_evaluations",
+			Help:    "How often a scheduler step checked or scored an engine for a request.",
+			Buckets: prometheus.ExponentialBuckets(16, 4, 12),
+		}),
 	}
 	m.registry.MustRegister(m.responses, m.tableFaults, m.overloadRejections, m.descriptorShortages, m.ruleViolations,
-		m.connectionsClosed, m.stateReleases, m.releaseCalls, m.timeToFirstToken, m.stepSeconds)
+		m.connectionsClosed, m.stateReleases, m.releaseCalls, m.timeToFirstToken, m.stepSeconds, m.stepEvaluations)
 	return m
 }
 
@@ -92,8 +98,11 @@
 // countReleaseCall counts a release call that has ended, by its result.
 func (m *metrics) countReleaseCall(result string) { m.releaseCalls.WithLabelValues(result).Inc() }
 
-// observeStep implements stepObserver.
-func (m *metrics) observeStep(seconds float64) { m.stepSeconds.Observe(seconds) }
+// observeStep records the duration of a scheduler step, and how many evaluations of engines it made.
+func (m *metrics) observeStep(step schedulerStep) {
+	m.stepSeconds.Observe(step.seconds)
+	m.stepEvaluations.Observe(float64(step.load.Evaluations))
+}
 
 // exposition returns the metrics in the text format of Prometheus.
 func (m *metrics) exposition(log *slog.Logger) []byte {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -157,7 +157,7 @@
 		tick:         config.tick,
 		host:         n,
 		lagObserver:  n.overload,
-		stepObserver: n.metrics,
+		stepObserver: n,
 	})
 	return n, nil
 }
@@ -285,6 +285,20 @@
 	n.engines.Close()
 }
 
+// longStep is the duration from which a scheduler step is logged as a warning (s). While a step runs, no request is answered and no state
+// is released.
+const longStep = 0.05
+
+// observeStep implements stepObserver.
+func (n *Node) observeStep(step schedulerStep) {
+	n.metrics.observeStep(step)
+	if step.seconds < longStep {
+		return
+	}
+	n.log.Warn("scheduler step was long", "seconds", step.seconds, "events", step.events, "actions", step.actions,
+		"open_requests", step.load.OpenRequests, "engines", step.load.Engines, "evaluations", step.load.Evaluations)
+}
+
 // schedulerFailed implements host. The request table responds to every open request by its own rules, and accepts no further request.
 func (n *Node) schedulerFailed(err error) {
 	n.log.Error("scheduler failed; the node stops", "error", err.Error())
--- a/scheduler/firsttoken.go
+++ b/scheduler/firsttoken.go
@@ -22,6 +22,7 @@
 // boundFirstToken returns a lower bound of the time until the request's first token.
 func (s *Scheduler) boundFirstToken(req *request) firstTokenBound {
 	prefill, latency := math.Inf(1), math.Inf(1)
+	s.evaluations += len(s.engineList)
 	for _, candidate := range s.engineList {
 		if candidate.State != EngineReady {
 			continue
--- a/scheduler/outlier.go
+++ b/scheduler/outlier.go
@@ -150,6 +150,7 @@
 func (s *Scheduler) eligibleEngines(fits func(e *engine) bool) []*engine {
 	var eligible []*engine
 	var lastResort *engine
+	s.evaluations += len(s.engineList)
 	for _, candidate := range s.engineList {
 		if candidate.State != EngineReady || !fits(candidate) {
 			continue
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -64,6 +64,8 @@
 	probeCursor        int
 	timerAt            float64
 	timerToken         int64
+
+	evaluations int // of the current step (PassLoad)
 }
 
 // New returns a scheduler for a configuration, or an error that names the field with an invalid value. The seed determines all
@@ -94,6 +96,7 @@
 	}
 	s.now = max(now, s.now)
 	s.actions = nil
+	s.evaluations = 0
 	for _, event := range events {
 		s.handle(event)
 	}
--- a/scheduler/slowstart.go
+++ b/scheduler/slowstart.go
@@ -34,6 +34,7 @@
 // warmEngines returns the number of ready engines of a role that are not in slow start.
 func (s *Scheduler) warmEngines(role Role) int {
 	n := 0
+	s.evaluations += len(s.engineList)
 	for _, candidate := range s.engineList {
 		if candidate.role == role && candidate.State == EngineReady && !s.warmingUp(candidate) {
 			n++
