Decide among a bounded number of engines in fleets of thousands

A pass took up to 2.05 s with 370 million evaluations, and the goroutine that ran it also answers, releases and expires.

Change: the ready engines are indexed at each list update. Bounds over the fleet (best first-token latency, prefix hit rates, warm engines) are computed once a step or, above 100 engines, at an interval that grows with the fleet. A set of up to 100 engines is evaluated whole as before; in a larger one, a search takes 50 eligible engines from a position of the prefix on a hash ring (prefill) or from a random one, half of them in the cell (decode).

--- a/lab/soak/agent.go
+++ b/lab/soak/agent.go
@@ -158,27 +158,46 @@
 func (a *Agent) synchronize() {
 	endpoints, changed := a.registry.snapshot()
 	for id, endpoint := range endpoints {
-		a.apply(endpoint, changed[id])
+		a.apply([]platform.Endpoint{endpoint}, changed[id])
 	}
 }
 
-// apply applies a change, and answers pending watches with it.
-func (a *Agent) apply(endpoint platform.Endpoint, version int) {
+// apply applies changes of one version, and answers pending watches with them. Changes to entries of which the agent has this or a newer
+// version are ignored.
+func (a *Agent) apply(endpoints []platform.Endpoint, version int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.activeSilences > 0 || version <= a.changed[endpoint.ID] {
+	if a.activeSilences > 0 {
+		return
+	}
+	var applied []platform.Endpoint
+	for _, endpoint := range endpoints {
+		if version > a.changed[endpoint.ID] {
+			a.endpoints[endpoint.ID] = endpoint
+			a.changed[endpoint.ID] = version
+			applied = append(applied, endpoint)
+		}
+	}
+	if len(applied) == 0 {
 		return
 	}
-	a.endpoints[endpoint.ID] = endpoint
-	a.changed[endpoint.ID] = version
 	a.version = max(a.version, version)
 	close(a.update)
 	a.update = make(chan struct{})
 	if delay := time.Until(a.deliveryDelayedUntil); delay > 0 {
-		time.AfterFunc(delay, func() { a.recordDelivery(endpoint, version) })
+		time.AfterFunc(delay, func() { a.recordDeliveries(applied, version) })
 		return
 	}
-	a.recordDeliveryLocked(endpoint, version)
+	for _, endpoint := range applied {
+		a.recordDeliveryLocked(endpoint, version)
+	}
+}
+
+// recordDeliveries records that entries count as delivered to the node.
+func (a *Agent) recordDeliveries(endpoints []platform.Endpoint, version int) {
+	for _, endpoint := range endpoints {
+		a.recordDelivery(endpoint, version)
+	}
 }
 
 // recordDelivery records that an entry counts as delivered to the node.
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -61,12 +61,21 @@
 		recoveryByNode:   map[string]map[record.Outcome]int{},
 	}
 	f.platform.LosesResponse = f.losesResponse
-	for _, role := range initialEngineRoles {
+	for _, role := range s.engineRoles() {
 		f.addEngine(role)
 	}
 	return f
 }
 
+// engineRoles returns the roles of the engines with which the scenario begins.
+func (s Scenario) engineRoles() []string {
+	if s.Engines == 0 {
+		return initialEngineRoles
+	}
+	pair := []string{"read", "write"}
+	return slices.Repeat(pair, s.Engines/len(pair))
+}
+
 // losesResponse reports whether a proxy drops the data that an engine sends on the connection from peer.
 func (f *Fleet) losesResponse(engine string, peer net.Addr) bool {
 	for _, p := range f.proxies(engine) {
--- a/lab/soak/registry.go
+++ b/lab/soak/registry.go
@@ -27,18 +27,27 @@
 
 // Update changes an entry, or adds it if there is none with this ID, and passes it to the agents.
 func (r *Registry) Update(id string, change func(*platform.Endpoint)) {
+	r.UpdateAll([]string{id}, change)
+}
+
+// UpdateAll changes several entries in one version of the list, and passes them to the agents.
+func (r *Registry) UpdateAll(ids []string, change func(*platform.Endpoint)) {
 	r.mu.Lock()
-	endpoint := r.endpoints[id]
-	endpoint.ID = id
-	change(&endpoint)
 	r.version++
 	version := r.version
-	r.endpoints[id] = endpoint
-	r.changed[id] = version
+	var changed []platform.Endpoint
+	for _, id := range ids {
+		endpoint := r.endpoints[id]
+		endpoint.ID = id
+		change(&endpoint)
+		r.endpoints[id] = endpoint
+		r.changed[id] = version
+		changed = append(changed, endpoint)
+	}
 	agents := slices.Clone(r.agents)
 	r.mu.Unlock()
 	for _, agent := range agents {
-		agent.apply(endpoint, version)
+		agent.apply(changed, version)
 	}
 }
 
--- a/lab/soak/scenario.go
+++ b/lab/soak/scenario.go
@@ -15,6 +15,7 @@
 type Scenario struct {
 	Seed           uint64
 	Nodes          int
+	Engines        int // number of engines at the start, half prefill and half decode; 0: those of initialEngineRoles
 	ClientsPerNode int
 	Duration       time.Duration // length of the period in which faults begin
 	Program        string        // path of the node's program, which must be linked against the C library
--- a/lab/soak/scenario_test.go
+++ b/lab/soak/scenario_test.go
@@ -26,11 +26,24 @@
 	stopped chan struct{}
 }
 
-// newFixture creates a fixture whose node has not been started.
+// newFixture creates a fixture with the engines of initialEngineRoles, whose node has not been started.
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWithEngines(t, 0)
+}
+
+// newFixtureWithEngines creates a fixture whose node has not been started. engines is the number of engines (Scenario.Engines).
+func newFixtureWithEngines(t *testing.T, engines int) *fixture {
 	t.Helper()
 	program, clockLib := build(t)
-	scenario := Scenario{Seed: 1, Nodes: 1, Program: program, ClockLib: clockLib, Directory: logDirectory(t, t.Name())}
+	scenario := Scenario{
+		Seed:      1,
+		Nodes:     1,
+		Engines:   engines,
+		Program:   program,
+		ClockLib:  clockLib,
+		Directory: logDirectory(t, t.Name()),
+	}
 	f := newFleet(scenario)
 	if err := f.addNodes(rand.New(rand.NewPCG(1, 1))); err != nil {
 		t.Fatal(err)
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -201,7 +201,7 @@
 func (s *Scheduler) admitWithoutPrefillEngine(req *request) bool {
 	var best *engine
 	bestAmount := math.Inf(-1)
-	for _, candidate := range s.eligibleEngines(func(e *engine) bool {
+	for _, candidate := range s.eligibleEngines(s.fromRandom(&s.index.decode), func(e *engine) bool {
 		prefills := e.role == Mixed || e.role == Decode && s.cfg.DecodeEnginesPrefill
 		return prefills && s.repeatAllowed(req, e) && s.slowStartAllows(req, e)
 	}) {
--- a/scheduler/affinity.go
+++ b/scheduler/affinity.go
@@ -55,15 +55,19 @@
 // order of the prefix, or of the session if the request has no prefix; the order is the same at all nodes. A hot prefix has
 // several preferred replicas, in proportion to its share of the arrivals; its sessions are spread over them.
 func (s *Scheduler) prefillCandidates(req *request) []*engine {
-	candidates := s.retryCandidates(req, s.eligibleEngines(func(e *engine) bool {
-		return e.role != Decode && s.repeatAllowed(req, e) && s.slowStartAllows(req, e)
+	searched := 0
+	candidates := s.retryCandidates(req, s.eligibleEngines(s.prefillSearch(req), func(e *engine) bool {
+		searched++
+		return s.repeatAllowed(req, e) && s.slowStartAllows(req, e)
 	}))
 	if req.Prefix == "" {
 		orderByRendezvous(candidates, req.Session)
 		return candidates
 	}
 	orderByRendezvous(candidates, req.Prefix)
-	replicas := int(math.Ceil(s.prefixShare(req.Prefix) * float64(len(candidates))))
+	// The candidates stand for their share of all engines that prefill.
+	fleetPerSearched := float64(len(s.index.prefill.engines)) / float64(max(1, searched))
+	replicas := int(math.Ceil(s.prefixShare(req.Prefix) * float64(len(candidates)) * fleetPerSearched))
 	orderByRendezvous(candidates[:min(len(candidates), replicas)], req.Session)
 	return candidates
 }
@@ -85,11 +89,24 @@
 // cachedPrefixTokens predicts how many tokens of a prompt an engine has cached. If the engine has prefilled the session's latest
 // prompt since its start, that is the whole of this prompt. Otherwise it is the mean share of shared prefixes that was found there.
 func (s *Scheduler) cachedPrefixTokens(req *request, target *engine) float64 {
-	if latest, ok := s.sessions[req.Session]; ok && latest.prefillEngine == target && latest.usedAt > target.BootTime {
-		return min(latest.promptTokens, req.PromptTokens)
+	if s.engineWithSession(req) == target {
+		return min(s.sessions[req.Session].promptTokens, req.PromptTokens)
 	}
-	share := target.prefixHitRate.get(s.now, s.kinds[target.Kind].prefixHitRate.get(s.now, 0, 0), prefillWaitDecayTime)
-	return share * min(req.PrefixTokens, req.PromptTokens)
+	return s.prefixHitRate(target) * min(req.PrefixTokens, req.PromptTokens)
+}
+
+// engineWithSession returns the engine that has prefilled the latest prompt of the request's session since its start, or nil.
+func (s *Scheduler) engineWithSession(req *request) *engine {
+	latest, ok := s.sessions[req.Session]
+	if !ok || latest.usedAt <= latest.prefillEngine.BootTime {
+		return nil
+	}
+	return latest.prefillEngine
+}
+
+// prefixHitRate returns the mean share of shared prefixes that is found cached at an engine.
+func (s *Scheduler) prefixHitRate(target *engine) float64 {
+	return target.prefixHitRate.get(s.now, s.kinds[target.Kind].prefixHitRate.get(s.now, 0, 0), prefillWaitDecayTime)
 }
 
 // learnPrefixHitRate records the share of a shared prefix that was found cached. Predictions assume that the rest is prefilled again.
--- a/scheduler/endpointview.go
+++ b/scheduler/endpointview.go
@@ -29,6 +29,8 @@
 		s.updateEngine(entry)
 	}
 	s.removeEngines(update.Form != UpdateIncremental, listed)
+	s.index = newEngineIndex(s.engineList)
+	s.fleetBounds.refreshAt = s.now
 	s.updateMaxReady()
 	s.updateAffinityWeights()
 }
@@ -38,12 +40,13 @@
 func (s *Scheduler) updateEngine(entry Engine) {
 	target := s.engines[entry.ID]
 	if target == nil {
-		target = &engine{discoveredAt: s.now}
+		target = &engine{discoveredAt: s.now, ringPosition: ringPosition(entry.ID)}
 		s.engines[entry.ID] = target
 		s.engineList = append(s.engineList, target)
 	} else if entry.State == EngineReady && entry.BootTime > target.BootTime {
 		*target = engine{
 			role:           target.role,
+			ringPosition:   target.ringPosition,
 			discoveredAt:   s.now,
 			prefills:       target.prefills,
 			admitted:       target.admitted,
@@ -115,13 +118,7 @@
 
 // updateMaxReady updates the largest number of engines of each role that were ever ready at the same time.
 func (s *Scheduler) updateMaxReady() {
-	var ready [roles]int
-	for _, target := range s.engineList {
-		if target.State == EngineReady {
-			ready[target.role]++
-		}
-	}
-	for role, n := range ready {
+	for role, n := range s.index.ready {
 		s.maxReady[role] = max(s.maxReady[role], n)
 	}
 }
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -8,6 +8,7 @@
 	Engine
 	role         Role
 	memory       float64 // tokens; 0 = unknown
+	ringPosition float64 // in an engineSet
 	discoveredAt float64 // when the engine was first listed since its latest start
 
 	prefills []*request // requests with a prefill attempt in flight here
--- a/scheduler/expiry.go
+++ b/scheduler/expiry.go
@@ -78,7 +78,7 @@
 		return 0
 	}
 	wait := s.cfg.Limits.MaxRetryAfter
-	for _, candidate := range s.eligibleEngines(func(e *engine) bool { return e.role != Decode }) {
+	for _, candidate := range s.eligibleEngines(s.fromRandom(&s.index.prefill), func(*engine) bool { return true }) {
 		wait = min(wait, s.queueingDelay(candidate))
 	}
 	return min(s.cfg.Limits.MaxRetryAfter, max(minRetryAfter, wait)*(0.5+s.rng.Float64()))
--- a/scheduler/firsttoken.go
+++ b/scheduler/firsttoken.go
@@ -21,28 +21,33 @@
 
 // boundFirstToken returns a lower bound of the time until the request's first token.
 func (s *Scheduler) boundFirstToken(req *request) firstTokenBound {
-	prefill, latency := math.Inf(1), math.Inf(1)
-	s.evaluations += len(s.engineList)
-	for _, candidate := range s.engineList {
-		if candidate.State != EngineReady {
-			continue
-		}
-		if candidate.role != Decode {
-			prefill = min(prefill, s.uncachedTokens(req, candidate)*s.prefillSecondsPerToken(candidate))
-		}
-		if candidate.role != Prefill {
-			latency = min(latency, s.firstTokenLatency(candidate))
-		}
-	}
-	bound := firstTokenBound{total: prefill + latency, latency: latency}
+	bounds := s.currentBounds()
+	prefill := s.boundPrefill(req, bounds)
+	bound := firstTokenBound{total: prefill + bounds.firstTokenLatency, latency: bounds.firstTokenLatency}
 	if math.IsInf(bound.total, 1) {
 		bound.total = 0
 	} else if req.stage == stagePrefilled {
-		bound.total = latency
+		bound.total = bound.latency
 	}
 	return bound
 }
 
+// boundPrefill returns a lower bound of the time that the prefill of a request takes at an engine that is ready, in seconds.
+func (s *Scheduler) boundPrefill(req *request, bounds *fleetBounds) float64 {
+	least := math.Inf(1)
+	cachedAt := s.engineWithSession(req)
+	if cachedAt != nil && cachedAt.State == EngineReady && cachedAt.role != Decode {
+		least = s.uncachedTokens(req, cachedAt) * s.prefillSecondsPerToken(cachedAt)
+	}
+	for i := range bounds.prefill {
+		if group := &bounds.prefill[i]; group.hasOther(cachedAt) {
+			cached := group.hitRateWithout(cachedAt) * min(req.PrefixTokens, req.PromptTokens)
+			least = min(least, max(minPrefillTokens, req.PromptTokens-cached)*group.secondsPerToken)
+		}
+	}
+	return least
+}
+
 // firstTokenLatency predicts the time from the send of a decode attempt to its first token.
 func (s *Scheduler) firstTokenLatency(target *engine) float64 {
 	ofKind := s.kinds[target.Kind].firstTokenLatency.get(s.now, initialFirstTokenLatency, 0)
--- a/scheduler/outlier.go
+++ b/scheduler/outlier.go
@@ -145,28 +145,6 @@
 	}
 }
 
-// eligibleEngines returns the engines that satisfy fits, are listed as ready (rule 3) and accept work. If none of them accepts work, it
-// returns the one with the lowest failure score.
-func (s *Scheduler) eligibleEngines(fits func(e *engine) bool) []*engine {
-	var eligible []*engine
-	var lastResort *engine
-	s.evaluations += len(s.engineList)
-	for _, candidate := range s.engineList {
-		if candidate.State != EngineReady || !fits(candidate) {
-			continue
-		}
-		if s.acceptsWork(candidate) {
-			eligible = append(eligible, candidate)
-		} else if lastResort == nil || candidate.failedLessThan(lastResort) {
-			lastResort = candidate
-		}
-	}
-	if len(eligible) == 0 && lastResort != nil {
-		return []*engine{lastResort}
-	}
-	return eligible
-}
-
 func (e *engine) failedLessThan(other *engine) bool {
 	if e.failureScore != other.failureScore {
 		return e.failureScore < other.failureScore
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -101,8 +101,8 @@
 func (s *Scheduler) bestDecodeEngine(req *request, from *engine, timeLeft float64, untested bool) *engine {
 	var best *engine
 	bestScore := math.Inf(-1)
-	for _, candidate := range s.retryCandidates(req, s.eligibleEngines(func(e *engine) bool {
-		return e.role != Prefill && s.repeatAllowed(req, e) && s.slowStartAllows(req, e)
+	for _, candidate := range s.retryCandidates(req, s.eligibleDecodeEngines(from, func(e *engine) bool {
+		return s.repeatAllowed(req, e) && s.slowStartAllows(req, e)
 	})) {
 		remaining := s.spareCapacity(candidate, req)
 		if !untested && (!remaining.passes() || s.firstTokenLatency(candidate)+s.transferTime(req, from, candidate) > timeLeft) {
--- a/scheduler/prefilltime.go
+++ b/scheduler/prefilltime.go
@@ -35,12 +35,17 @@
 func (s *Scheduler) prefillSecondsPerToken(target *engine) float64 {
 	slope := s.kinds[target.Kind].prefillTime.slope(initialPrefillSecondsPerToken, prefillFitPrior)
 	seconds := max(minPrefillSecondsPerToken, slope)
-	if target.prefillWait.samples == 0 && s.warmingUp(target) {
+	if s.slowedByStart(target) {
 		return seconds / max(minSlowStartShare, s.cfg.Rules.SlowStartShare)
 	}
 	return seconds
 }
 
+// slowedByStart reports whether an engine is in slow start and no prefill there is known yet.
+func (s *Scheduler) slowedByStart(target *engine) bool {
+	return target.prefillWait.samples == 0 && s.warmingUp(target)
+}
+
 // prefillWait returns how many seconds longer a prefill takes than the load from this node explains.
 func (s *Scheduler) prefillWait(target *engine) float64 {
 	ofKind := s.kinds[target.Kind].prefillWait.get(s.now, 0, meanDecayTime)
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -55,9 +55,7 @@
 	if left >= 2 {
 		return true
 	}
-	return left == 1 && slices.ContainsFunc(s.engineList, func(e *engine) bool {
-		return e.State == EngineReady && (e.role == Mixed || e.role == Decode && s.cfg.DecodeEnginesPrefill)
-	})
+	return left == 1 && (s.index.ready[Mixed] > 0 || s.cfg.DecodeEnginesPrefill && s.index.ready[Decode] > 0)
 }
 
 // exemptUnsentAttempt excludes an attempt whose request was never written from the attempt limit, if ExemptUnsentAttempts is set.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -29,7 +29,9 @@
 
 	// Endpoint view.
 	engines          map[string]*engine
-	engineList       []*engine  // in order of ID; decisions iterate over this list, never over the map, to be reproducible
+	engineList       []*engine // in order of ID; decisions iterate over this list, never over the map, to be reproducible
+	index            engineIndex
+	fleetBounds      fleetBounds
 	maxReady         [roles]int // largest number of engines of each role that were ever ready at the same time
 	watchActive      bool
 	nextWatchCheckAt float64
@@ -39,16 +41,17 @@
 	openRequests []*request // requests without a final response, in order of arrival
 
 	// Performance models.
-	kinds            []kindStats
-	classes          []classStats
-	links            map[linkKey]*link
-	predictionError  [roles]decayingMean // mean absolute error of the predicted times of attempts, in seconds
-	meanPromptTokens decayingMean
-	meanOutputTokens decayingMean
-	completedWork    [roles]decayingRate // work of completed prefills and of started streams, in tokens per second
-	lastSuccess      [roles]float64      // time of the latest success of any engine of the role
-	arrivals         decayingRate
-	firstTokenBound  firstTokenBound // of the request that was checked last
+	kinds             []kindStats
+	classes           []classStats
+	links             map[linkKey]*link
+	slowStartTurnText turnText
+	predictionError   [roles]decayingMean // mean absolute error of the predicted times of attempts, in seconds
+	meanPromptTokens  decayingMean
+	meanOutputTokens  decayingMean
+	completedWork     [roles]decayingRate // work of completed prefills and of started streams, in tokens per second
+	lastSuccess       [roles]float64      // time of the latest success of any engine of the role
+	arrivals          decayingRate
+	firstTokenBound   firstTokenBound // of the request that was checked last
 
 	// Prefix affinity.
 	sessions       map[string]session
@@ -97,6 +100,9 @@
 	s.now = max(now, s.now)
 	s.actions = nil
 	s.evaluations = 0
+	if len(s.engineList) <= smallSet {
+		s.fleetBounds.refreshAt = s.now
+	}
 	for _, event := range events {
 		s.handle(event)
 	}
--- a/scheduler/slowstart.go
+++ b/scheduler/slowstart.go
@@ -31,18 +31,6 @@
 	return target.BootTime > 0 && s.now < target.BootTime+s.cfg.Rules.SlowStartDuration
 }
 
-// warmEngines returns the number of ready engines of a role that are not in slow start.
-func (s *Scheduler) warmEngines(role Role) int {
-	n := 0
-	s.evaluations += len(s.engineList)
-	for _, candidate := range s.engineList {
-		if candidate.role == role && candidate.State == EngineReady && !s.warmingUp(candidate) {
-			n++
-		}
-	}
-	return n
-}
-
 // work returns the work of the request at an engine of a role, in tokens, with the mean prompt length of its class. The slow-start budget
 // is counted in this work.
 func (s *Scheduler) work(req *request, role Role) float64 {
@@ -108,7 +96,7 @@
 func (s *Scheduler) slowStartSendsAllowed(target *engine, work float64) float64 {
 	rules := &s.cfg.Rules
 	// If most engines are in slow start, the few warm ones are not representative.
-	warm := max(1, s.warmEngines(target.role), s.maxReady[target.role]/2)
+	warm := max(1, s.currentBounds().warm[target.role], s.maxReady[target.role]/2)
 	perWarmEngine := s.completedWork[target.role].get(s.now, rateWindow) / float64(warm) / work
 	forAllNodes := slowStartCapacityShare * rules.OverloadMultiple * rules.SlowStartShare * rules.SlowStartWindow /
 		s.expectedBusyTime(target)
@@ -127,10 +115,19 @@
 	if (turn-phase)*window < target.discoveredAt {
 		return 0
 	}
-	_, fraction := math.Modf(rendezvousHash(fmt.Sprint(turn), target.ID) + float64(s.cfg.NodeIndex)*math.Phi)
+	if s.slowStartTurnText.turn != turn {
+		s.slowStartTurnText = turnText{turn: turn, text: fmt.Sprint(turn)}
+	}
+	_, fraction := math.Modf(rendezvousHash(s.slowStartTurnText.text, target.ID) + float64(s.cfg.NodeIndex)*math.Phi)
 	return fraction
 }
 
+// turnText is a window of slowStartTurn as a text that can be hashed.
+type turnText struct {
+	turn float64
+	text string
+}
+
 // expectedBusyTime returns how many seconds of an engine's capacity a request of mean length takes. It is estimated from the prefill
 // times and the curve of the engine's kind, with the priors as lower bounds.
 func (s *Scheduler) expectedBusyTime(target *engine) float64 {
