End a decision pass at a limit of evaluations, and continue it after a tick

The bound doesn't rest on the index of engines, because engines that are ejected, full or in slow start can make each search long.

The next pass follows after a tick and begins with the states that have waited longest. A counter and the log line of long steps say that a step was interrupted.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -39,6 +39,7 @@
 	timeToFirstToken    prometheus.Histogram
 	stepSeconds         prometheus.Histogram
 	stepEvaluations     prometheus.Histogram
+	stepsInterrupted    prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -79,9 +80,13 @@
 			Help:    "How often a scheduler step checked or scored an engine for a request.",
 			Buckets: prometheus.ExponentialBuckets(16, 4, 12),
 		}),
+		stepsInterrupted: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dillroute_scheduler_steps_interrupted_total",
+			Help: "Scheduler steps that reached their limit of evaluations and left work for the next step.",
+		}),
 	}
 	m.registry.MustRegister(m.responses, m.tableFaults, m.overloadRejections, m.descriptorShortages, m.ruleViolations,
-		m.connectionsClosed, m.stateReleases, m.releaseCalls, m.timeToFirstToken, m.stepSeconds, m.stepEvaluations)
+		m.connectionsClosed, m.stateReleases, m.releaseCalls, m.timeToFirstToken, m.stepSeconds, m.stepEvaluations, m.stepsInterrupted)
 	return m
 }
 
@@ -102,6 +107,9 @@
 func (m *metrics) observeStep(step schedulerStep) {
 	m.stepSeconds.Observe(step.seconds)
 	m.stepEvaluations.Observe(float64(step.load.Evaluations))
+	if step.load.Interrupted {
+		m.stepsInterrupted.Inc()
+	}
 }
 
 // exposition returns the metrics in the text format of Prometheus.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -296,7 +296,8 @@
 		return
 	}
 	n.log.Warn("scheduler step was long", "seconds", step.seconds, "events", step.events, "actions", step.actions,
-		"open_requests", step.load.OpenRequests, "engines", step.load.Engines, "evaluations", step.load.Evaluations)
+		"open_requests", step.load.OpenRequests, "engines", step.load.Engines, "evaluations", step.load.Evaluations,
+		"interrupted", step.load.Interrupted)
 }
 
 // schedulerFailed implements host. The request table responds to every open request by its own rules, and accepts no further request.
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -64,7 +64,7 @@
 // admitOneOf admits the first drawn request that passes the tests, and returns its index, or -1 if none passes.
 func (s *Scheduler) admitOneOf(tier []*request) int {
 	for _, i := range s.drawWindow(len(tier)) {
-		if s.admit(tier[i], false) {
+		if s.mayEvaluate() && s.admit(tier[i], false) {
 			return i
 		}
 	}
@@ -87,7 +87,7 @@
 func (s *Scheduler) admitLowTier(tier []*request) {
 	failed := 0
 	for _, req := range tier {
-		if failed >= drawWindowSize {
+		if failed >= drawWindowSize || !s.mayEvaluate() {
 			return
 		}
 		if !s.admit(req, true) {
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -149,7 +149,10 @@
 // released instead.
 func (s *Scheduler) placePrefilled(req *request) {
 	target := req.decodeEngine
-	if target == nil || !s.acceptsState(req, target) {
+	if target != nil && !s.acceptsState(req, target) {
+		target = nil
+	}
+	if target == nil && s.mayEvaluate() {
 		target = s.bestDecodeEngine(req, req.prefillEngine, math.Inf(1), req.lowTier)
 	}
 	if s.now >= req.reserved.since+stateWaitShare*s.cfg.Rules.StateReleaseLimit {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -68,7 +68,9 @@
 	timerAt            float64
 	timerToken         int64
 
-	evaluations int // of the current step (PassLoad)
+	// Work of the current step (PassLoad).
+	evaluations int
+	interrupted bool
 }
 
 // New returns a scheduler for a configuration, or an error that names the field with an invalid value. The seed determines all
@@ -151,8 +153,10 @@
 func (s *Scheduler) schedule() {
 	s.watchEndpoints()
 	s.evictIdleSessions()
+	order := s.passOrder()
+	s.interrupted = false
 	var high, low []*request
-	for _, req := range append([]*request(nil), s.openRequests...) {
+	for _, req := range order {
 		if req.stage == stageStreaming || s.expire(req) {
 			continue
 		}
@@ -190,6 +194,9 @@
 	if s.nextProbeAt > 0 {
 		at = min(at, s.nextProbeAt)
 	}
+	if s.interrupted {
+		at = s.now
+	}
 	s.setTimer(max(at, s.now+s.cfg.Tick))
 }
 
