Limit the pause after a long decision pass to 10 ms

After a pass of 3 s the scheduler was not called for 9 s more, although it expires requests and retries them: DispatchInterval kept its share of a quarter of the time whatever the pass had cost.

The limit protects the tasks of the event loop from many short passes, and does so as before; a long pass is now followed within 10 ms or a tick.

--- a/internal/decide/batching/batching.go
+++ b/internal/decide/batching/batching.go
@@ -3,8 +3,13 @@
 // its prefill and before its decode. The package does no I/O and reads no clock; times are in seconds.
 package batching
 
-// maxTimeShare is the share of the event loop's time that decision passes may take.
-const maxTimeShare = 0.25
+const (
+	// maxTimeShare is the share of the event loop's time that decision passes may take, as long as maxPause allows it.
+	maxTimeShare = 0.25
+	// maxPause is the longest time from the end of a pass to the start of the next one, in seconds, unless a tick is longer. The scheduler
+	// expires requests and continues interrupted passes, and has to run again before their deadlines.
+	maxPause = 0.01
+)
 
 // DispatchInterval schedules decision passes. It is not safe for concurrent use.
 type DispatchInterval struct {
@@ -14,7 +19,8 @@
 
 // RecordPass records when a pass started and how long it took.
 func (d *DispatchInterval) RecordPass(started, took float64) {
-	d.nextPass = started + max(d.Tick, took/maxTimeShare)
+	pause := min(took/maxTimeShare-took, maxPause)
+	d.nextPass = started + max(d.Tick, took+pause)
 }
 
 // Next returns the earliest time of the next pass.
