--- a/lab/soak/fault_discovery.go
+++ b/lab/soak/fault_discovery.go
@@ -62,7 +62,7 @@
 	}
 	role, _, _ := strings.Cut(id, "-")
 	t.setState(id, "draining")
-	t.fleet.addEngine(role)
+	t.fleet.addEngines(role)
 	t.pause(200*time.Millisecond, 2*time.Second)
 	t.setState(id, "removed")
 	t.pause(0, time.Second)
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -6,6 +6,7 @@
 	"net"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -61,9 +62,7 @@
 		recoveryByNode:   map[string]map[record.Outcome]int{},
 	}
 	f.platform.LosesResponse = f.losesResponse
-	for _, role := range s.engineRoles() {
-		f.addEngine(role)
-	}
+	f.addEngines(s.engineRoles()...)
 	return f
 }
 
@@ -199,24 +198,42 @@
 	f.platform.RegisterRoute(n.name, proxy.Address())
 }
 
-// addEngine starts an engine of the given role and lists it as up.
-func (f *Fleet) addEngine(role string) {
+// addEngines starts engines of the given roles, and lists them as up in one version of the list.
+func (f *Fleet) addEngines(roles ...string) {
+	var ids []string
+	for _, role := range roles {
+		ids = append(ids, f.startEngine(role))
+	}
+	f.listEngines(ids)
+}
+
+// listEngines lists engines that have just started as up, in one version of the list.
+func (f *Fleet) listEngines(ids []string) {
+	started := int64(0) // 1970, long ago: only engines that start during the scenario are in slow start
+	if len(f.nodes) > 0 {
+		started = time.Now().UnixMilli()
+	}
+	f.registry.UpdateAll(ids, func(e *platform.Endpoint) {
+		role, _, _ := strings.Cut(e.ID, "-")
+		*e = platform.Endpoint{ID: e.ID, Zone: "z", Kind: role, Cell: cellOf(e.ID), State: "up", Weight: 1, Started: started}
+	})
+}
+
+// startEngine starts an engine without listing it, and returns its ID. It holds the lock only briefly, because engines need it to serve.
+func (f *Fleet) startEngine(role string) string {
 	f.mu.Lock()
 	f.enginesStarted++
 	id := fmt.Sprintf("%s-%d", role, f.enginesStarted)
-	f.engines[id] = f.platform.StartEngine(id, role)
+	f.mu.Unlock()
+	engine := f.platform.StartEngine(id, role)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engines[id] = engine
 	f.engineIDs = append(f.engineIDs, id)
 	for _, n := range f.nodes {
 		f.addRoute(n, id)
 	}
-	started := int64(0) // 1970, long ago: only engines that start during the scenario are in slow start
-	if len(f.nodes) > 0 {
-		started = time.Now().UnixMilli()
-	}
-	f.mu.Unlock()
-	f.registry.Update(id, func(e *platform.Endpoint) {
-		*e = platform.Endpoint{ID: id, Zone: "z", Kind: role, Cell: cellOf(id), State: "up", Weight: 1, Started: started}
-	})
+	return id
 }
 
 // proxies returns the proxies to an engine, one for each node.
