Count a request's time from its arrival when it waits for the scheduler

The trace: the update of a list and other tasks took the event loop's time, then the scheduler was called with the time from before them; and the time that the client had left was counted from the scheduler's step, not from the request's arrival, however long the request had waited for it.

Change: the event loop reads the clock again before a step, and Table.Drain reduces the time left of each request by its wait.

--- a/internal/decide/requesttable/attempts_test.go
+++ b/internal/decide/requesttable/attempts_test.go
@@ -29,7 +29,7 @@
 		table.AddRequest(1, newRequest("a", c.class), 0)
 		n := startAttempt(t, table, 1, "a", "w0")
 		table.AttemptEnded(1.1, "a", n, writtenBroken, nil)
-		table.Drain()
+		table.Drain(0)
 		table.Apply(c.now, scheduler.Send{ID: "a", Engine: c.engine})
 		starts := commandsOf[StartAttempt](table)
 		if (len(starts) == 1) != c.starts {
@@ -110,7 +110,7 @@
 	} {
 		id := fmt.Sprint("q", i)
 		table.AddRequest(c.at, newRequest(id, idempotent), 0)
-		table.Drain()
+		table.Drain(0)
 		table.Apply(c.at, scheduler.Send{ID: id, Engine: c.engine})
 		if got := len(commandsOf[StartAttempt](table)) == 1; got != c.starts {
 			t.Errorf("to %s at %g: got started %v, want %v", c.engine, c.at, got, c.starts)
@@ -145,7 +145,7 @@
 		config.ExemptUnsentAttempts = exempt
 		table.Reconfigure(config)
 		table.AddRequest(1, newRequest("a", atMostOnce), 0)
-		table.Drain()
+		table.Drain(0)
 		started := 0
 		for range 20 {
 			table.Apply(1, scheduler.Send{ID: "a", Engine: "w0"})
@@ -202,9 +202,9 @@
 		table := newTable()
 		table.AddRequest(1, newRequest("a", atMostOnce), 0)
 		n := startAttempt(t, table, 1, "a", "r0")
-		table.Drain()
+		table.Drain(0)
 		table.AttemptEnded(1.1, "a", n, evidence, nil)
-		events, _ := table.Drain()
+		events, _ := table.Drain(0)
 		if got := events[0].(scheduler.Outcome).Effect; got != scheduler.EffectPossible {
 			t.Errorf("%s: got the evidence %v for the scheduler, want %v", name, got, scheduler.EffectPossible)
 		}
@@ -300,7 +300,7 @@
 	table := newTable()
 	table.AddRequest(1, newRequest("a", atMostOnce), 0)
 	n := startAttempt(t, table, 1, "a", "r0")
-	table.Drain()
+	table.Drain(0)
 	table.FirstToken(1.1, "a", n)
 	if grants := commandsOf[GrantResponse](table); len(grants) != 1 || !grants[0].Granted {
 		t.Fatalf("got %+v, want one grant", grants)
@@ -308,7 +308,7 @@
 	done := complete(outcome.DecodeDone)
 	done.DecodeHeader = true
 	table.AttemptEnded(1.2, "a", n, done, nil)
-	events, commands := table.Drain()
+	events, commands := table.Drain(0)
 	for _, command := range commands {
 		if _, ok := command.(ForgetRequest); !ok {
 			t.Errorf("got %+v after the end of the stream, want the request to be forgotten", command)
--- a/internal/decide/requesttable/golden_test.go
+++ b/internal/decide/requesttable/golden_test.go
@@ -515,7 +515,7 @@
 	if h.chance(0.2) {
 		commands = h.table.DrainCommands() // events wait for the next step
 	} else {
-		events, commands = h.table.Drain()
+		events, commands = h.table.Drain(h.now)
 	}
 	for _, event := range events {
 		text := eventText(event)
--- a/internal/decide/requesttable/heldstate_test.go
+++ b/internal/decide/requesttable/heldstate_test.go
@@ -31,7 +31,7 @@
 
 // collect drains the table's events and commands and records them.
 func (h *heldStateHarness) collect() {
-	events, commands := h.table.Drain()
+	events, commands := h.table.Drain(h.now)
 	for _, event := range events {
 		if _, ok := event.(scheduler.StateReleased); ok {
 			h.releasedEvents++
--- a/internal/decide/requesttable/helpers_test.go
+++ b/internal/decide/requesttable/helpers_test.go
@@ -47,7 +47,7 @@
 		[]scheduler.Kind{{Role: scheduler.Prefill}, {Role: scheduler.Decode}})
 	table.UpdateEndpoints(0, scheduler.EndpointUpdate{Form: scheduler.UpdateComplete, Engines: []scheduler.Engine{
 		{ID: "r0", Kind: 0}, {ID: "r1", Kind: 0, Cell: 1}, {ID: "w0", Kind: 1}, {ID: "w1", Kind: 1, Cell: 1}}})
-	table.Drain()
+	table.Drain(0)
 	return table
 }
 
--- a/internal/decide/requesttable/property_test.go
+++ b/internal/decide/requesttable/property_test.go
@@ -43,7 +43,7 @@
 
 // checkCommands drains the events and commands and checks each.
 func (h *propertyHarness) checkCommands() {
-	events, commands := h.table.Drain()
+	events, commands := h.table.Drain(h.now)
 	for _, event := range events {
 		if o, ok := event.(scheduler.Outcome); ok {
 			h.checkOutcome(o)
--- a/internal/decide/requesttable/record.go
+++ b/internal/decide/requesttable/record.go
@@ -10,6 +10,7 @@
 // requestRecord is one request, from AddRequest until it has ended and no attempt is in flight.
 type requestRecord struct {
 	class           *scheduler.Class
+	addedAt         float64
 	deadline        float64 // when the client stops waiting for the response to begin
 	wholeResponseBy float64 // when a response that is not streamed must be complete; 0 = the response is streamed
 	response        responseState
--- a/internal/decide/requesttable/releases_test.go
+++ b/internal/decide/requesttable/releases_test.go
@@ -32,7 +32,7 @@
 	table.AddRequest(1, newRequest("a", idempotent), 0)
 	table.Apply(1, scheduler.Send{ID: "a", Engine: "r0"})
 	table.Apply(1, scheduler.Send{ID: "a", Engine: "r1"})
-	table.Drain()
+	table.Drain(0)
 	table.AttemptEnded(1.1, "a", 0, writtenBroken, nil)
 	if releases := commandsOf[ReleaseState](table); len(releases) != 0 {
 		t.Fatalf("got %v while another prefill is in flight, want none", releases)
@@ -56,14 +56,14 @@
 	table := newTableReleasingAll()
 	table.AddRequest(1, newRequest("a", idempotent), 0)
 	table.Apply(1, scheduler.Send{ID: "a", Engine: "r0"})
-	table.Drain()
+	table.Drain(0)
 	table.AttemptEnded(1.1, "a", 0, writtenTimeout, nil)
 	releases := commandsOf[ReleaseState](table)
 	if len(releases) != 1 || !table.ReleaseAllowed(1.2, releases[0]) {
 		t.Fatalf("got %v, want one release that may be retried", releases)
 	}
 	table.Apply(1.2, scheduler.Send{ID: "a", Engine: "r1"})
-	table.Drain()
+	table.Drain(0)
 	if table.ReleaseAllowed(1.2, releases[0]) {
 		t.Fatal("a retry is allowed although it would free the state of the new prefill")
 	}
@@ -98,21 +98,21 @@
 	table := newTableReleasingAll()
 	table.AddRequest(1, newRequest("a", idempotent), 0)
 	table.Apply(1, scheduler.Send{ID: "a", Engine: "r0"})
-	table.Drain()
+	table.Drain(0)
 	table.AttemptEnded(1.1, "a", 0, writtenCancel, nil)
 	interrupted := commandsOf[ReleaseState](table)
 	if len(interrupted) != 1 || interrupted[0].InterruptedAt != 1.1 {
 		t.Fatalf("got %v, want one release of the attempt that was interrupted at 1.1", interrupted)
 	}
 	table.Apply(1.1, scheduler.Send{ID: "a", Engine: "r1"})
-	table.Drain()
+	table.Drain(0)
 	if table.ReleaseAllowed(1.15, interrupted[0]) {
 		t.Fatal("a retry is allowed although it would free the state of the prefill in flight")
 	}
 	table.AttemptEnded(1.2, "a", 1, prefillDone, nil)
 	n := startAttempt(t, table, 1.2, "a", "w0")
 	table.AttemptEnded(1.45, "a", n, unsentBroken, nil)
-	table.Drain()
+	table.Drain(0)
 	table.Apply(1.45, scheduler.Release{ID: "a"})
 	table.Apply(1.45, scheduler.Send{ID: "a", Engine: "w0"})
 	releases := commandsOf[ReleaseState](table)
@@ -178,7 +178,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		h := &releaseHarness{t: t, table: newTableReleasingAll(), now: 1, inFlight: map[int]StartAttempt{}}
 		h.table.AddRequest(1, newRequest("a", idempotent), 0)
-		h.table.Drain()
+		h.table.Drain(h.now)
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			h.now += 0.01
 			switch step := rapid.IntRange(0, 4).Draw(t, "step"); {
--- a/internal/decide/requesttable/table.go
+++ b/internal/decide/requesttable/table.go
@@ -90,13 +90,27 @@
 // Reconfigure replaces the settings. Open requests keep the class that they were added with.
 func (t *Table) Reconfigure(config Config) { t.config = config }
 
-// Drain returns the events and commands gathered since the last call, in order, and clears them.
-func (t *Table) Drain() ([]scheduler.Event, []Command) {
+// Drain returns the events and commands gathered since the last call, in order, and clears them. The events are for a scheduler step at
+// the time now: the time that a client has left is reduced by the time that its request has waited for the step.
+func (t *Table) Drain(now float64) ([]scheduler.Event, []Command) {
 	events, commands := t.events, t.commands
 	t.events, t.commands = nil, nil
+	for i, event := range events {
+		if request, ok := event.(scheduler.Request); ok {
+			events[i] = t.withTimeLeft(now, request)
+		}
+	}
 	return events, commands
 }
 
+// withTimeLeft returns a request with the time that its client has left at the time now.
+func (t *Table) withTimeLeft(now float64, request scheduler.Request) scheduler.Request {
+	if record := t.records[request.ID]; record != nil && now > record.addedAt {
+		request.ClientTimeLeft = max(0, request.ClientTimeLeft-(now-record.addedAt))
+	}
+	return request
+}
+
 // DrainCommands returns and clears the commands alone.
 func (t *Table) DrainCommands() []Command {
 	commands := t.commands
@@ -152,7 +166,7 @@
 		t.reportFault("request %s: its class %d is not known", request.ID, request.Class)
 		return outcome.Response{HTTPStatus: 500, Code: "internal", RetryIsSafe: true}, false
 	}
-	record := &requestRecord{class: &t.config.Classes[request.Class], deadline: now + request.ClientTimeLeft}
+	record := &requestRecord{class: &t.config.Classes[request.Class], addedAt: now, deadline: now + request.ClientTimeLeft}
 	if wholeResponseTimeout > 0 {
 		record.wholeResponseBy = now + wholeResponseTimeout - wholeResponseMargin
 	}
--- a/internal/node/eventloop.go
+++ b/internal/node/eventloop.go
@@ -150,6 +150,7 @@
 	}
 	l.owned.timers.Advance(now, func(f func(float64)) { f(now) })
 	l.executeCommands(now)
+	now = l.clock.Now() // tasks may have taken long, and the scheduler compares the time with deadlines
 	pending := l.owned.table.HasEvents() || len(l.owned.firedTimers) > 0
 	if pending && now >= l.owned.dispatch.Next() {
 		l.step(now)
@@ -191,7 +192,7 @@
 
 // step calls the scheduler and executes its actions in order.
 func (l *eventLoop) step(now float64) {
-	events, commands := l.owned.table.Drain()
+	events, commands := l.owned.table.Drain(now)
 	for _, command := range commands {
 		l.host.executeCommand(now, command)
 	}
