Soak: engines listen on a loopback address of their own

An engine of the emulated platform that restarts listens at its old address again. Connections are made from 127.0.0.1, so the engines of the soak listen on 127.0.3.1 now.

--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -18,6 +18,9 @@
 type Platform struct {
 	Log  *record.Log
 	Node string // node that the records name for attempts that arrived at an address without a registered route
+	// EngineHost is the IP address on which engines listen; New sets 127.0.0.1. On another loopback address, an engine that restarts does
+	// not find its port in use by a connection, because these are made from 127.0.0.1.
+	EngineHost string
 	// LosesResponse reports whether bytes that an engine sends on the connection from peer are lost on the way; nil: none are lost.
 	LosesResponse func(engine string, peer net.Addr) bool
 
@@ -52,6 +55,7 @@
 	return &Platform{
 		Log:             log,
 		Node:            node,
+		EngineHost:      "127.0.0.1",
 		engines:         map[string]*Engine{},
 		states:          map[string]map[string]bool{},
 		waitingAttempts: map[string]int{},
@@ -79,7 +83,7 @@
 		conns:         map[net.Conn]bool{},
 		attemptsLost:  make(chan struct{}),
 	}
-	if err := e.listen("127.0.0.1:0"); err != nil {
+	if err := e.listen(net.JoinHostPort(p.EngineHost, "0")); err != nil {
 		panic(err) // no loopback port is available: no test can run
 	}
 	p.mu.Lock()
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -47,6 +47,9 @@
 // initialEngineRoles are the roles of the engines with which a scenario begins.
 var initialEngineRoles = []string{"read", "read", "read", "read", "write", "write", "write", "write", "both", "both"}
 
+// engineHost is the loopback address on which engines listen (platform.Platform).
+const engineHost = "127.0.3.1"
+
 // newFleet creates the fleet of a scenario and starts its engines; addNodes adds the nodes.
 func newFleet(s Scenario) *Fleet {
 	log := &record.Log{}
@@ -61,6 +64,7 @@
 		recoveryOutcomes: map[record.Outcome]int{},
 		recoveryByNode:   map[string]map[record.Outcome]int{},
 	}
+	f.platform.EngineHost = engineHost
 	f.platform.LosesResponse = f.losesResponse
 	f.addEngines(s.engineRoles()...)
 	return f
