Bound the memory that names chosen by clients may hold

Two causes, found by reading and shown by tests. A session or a prefix stayed in the scheduler for a minute whatever their number; and a prefix of a few bytes kept the header line of up to 16 KiB in memory from which it was cut, as an id or a session kept the one it was trimmed from.

Change: names are copied out of the header, and the scheduler remembers 16,384 sessions and as many prefixes at most; beyond that it evicts the half that was used least recently. Ids were bounded already (RecentIDs).

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -72,13 +72,14 @@
 	return value
 }
 
-// parseRequest reads the parts of a request that the scheduler needs. The text of an error is sent to the client.
+// parseRequest reads the parts of a request that the scheduler needs. The text of an error is sent to the client. The names in the request
+// are copies, because the node remembers them for longer than the header.
 func (f *Front) parseRequest(r *http1.Request) (request scheduler.Request, err error) {
 	header := &requestHeader{fields: r.Header}
-	request.ID = header.require(headerID)
+	request.ID = strings.Clone(header.require(headerID))
 	class := header.require(headerClass)
 	tenant := header.require(headerTenant)
-	request.Session = header.get(headerSession)
+	request.Session = strings.Clone(header.get(headerSession))
 	timeLeft := header.require(headerTimeLeft)
 	info := header.get(headerInfo)
 	retry := header.get(headerRetry)
@@ -147,7 +148,7 @@
 			if len(value) > maxKey {
 				return fmt.Errorf("%s: prefix is too long", headerInfo)
 			}
-			request.Prefix = value
+			request.Prefix = strings.Clone(value)
 			continue
 		case "prompt_len":
 			dest = &request.PromptTokens
--- a/scheduler/affinity.go
+++ b/scheduler/affinity.go
@@ -24,6 +24,8 @@
 	mixedAffinityWeight = 0.5
 	// sessionIdleTime is the time in seconds after which an idle session or prefix is evicted.
 	sessionIdleTime = 60.0
+	// maxNames is the largest number of sessions, and of prefixes, that are remembered. Clients choose these names.
+	maxNames = 16_384
 )
 
 // session records the latest prefill of a client's session.
@@ -84,6 +86,30 @@
 	rate := s.prefixRates[prefix]
 	rate.add(s.now, 1, prefixWindow)
 	s.prefixRates[prefix] = rate
+	evictOldest(s.prefixRates, func(rate decayingRate) float64 { return rate.updatedAt })
+}
+
+// rememberSession records the latest prefill of a session.
+func (s *Scheduler) rememberSession(name string, latest session) {
+	s.sessions[name] = latest
+	evictOldest(s.sessions, func(latest session) float64 { return latest.usedAt })
+}
+
+// evictOldest removes the half of the entries that were used least recently if there are more than maxNames.
+func evictOldest[V any](entries map[string]V, usedAt func(V) float64) {
+	if len(entries) <= maxNames {
+		return
+	}
+	var times []float64
+	for _, entry := range entries {
+		times = append(times, usedAt(entry))
+	}
+	slices.Sort(times)
+	oldestKept := times[len(times)/2]
+	maps.DeleteFunc(entries, func(_ string, entry V) bool { return usedAt(entry) < oldestKept })
+	if len(entries) > maxNames { // all were used at the same time
+		clear(entries)
+	}
 }
 
 // cachedPrefixTokens predicts how many tokens of a prompt an engine has cached. If the engine has prefilled the session's latest
--- a/scheduler/affinity_test.go
+++ b/scheduler/affinity_test.go
@@ -150,3 +150,22 @@
 		t.Fatalf("predicted cached tokens: %g after hits and %g after misses, want at least 600 and at most half", before, after)
 	}
 }
+
+// Guards against memory that grows without end while one client sends requests under ever new names. A name in use is kept.
+func TestInventedNamesAreBounded(t *testing.T) {
+	sched := startScheduler(t, testConfig(), testFleet())
+	for i := range 3 * maxNames {
+		sched.now = 1 + float64(i)*1e-4
+		sched.countPrefix(fmt.Sprint("p", i))
+		sched.rememberSession(fmt.Sprint("s", i), session{usedAt: sched.now, prefillEngine: sched.engines["r0"]})
+		if i%100 == 0 {
+			sched.countPrefix("in use")
+		}
+		if len(sched.prefixRates) > maxNames || len(sched.sessions) > maxNames {
+			t.Fatalf("got %d prefixes and %d sessions, want at most %d", len(sched.prefixRates), len(sched.sessions), maxNames)
+		}
+	}
+	if _, kept := sched.prefixRates["in use"]; !kept {
+		t.Error("the prefix in use was evicted")
+	}
+}
--- a/scheduler/prefilltime.go
+++ b/scheduler/prefilltime.go
@@ -78,7 +78,7 @@
 	target.prefillWait.add(s.now, wait, prefillWaitGain)
 	kind.prefillWait.add(s.now, wait, kindGain)
 	if req.Session != "" {
-		s.sessions[req.Session] = session{promptTokens: req.PromptTokens, usedAt: s.now, prefillEngine: target}
+		s.rememberSession(req.Session, session{promptTokens: req.PromptTokens, usedAt: s.now, prefillEngine: target})
 	}
 }
 
