Don't cut off a stream whose engine still writes it

The deadline of a stream was moved by whole events alone, to 4.5 s, so an event that came in pieces for longer was cut, and so was one after a pause of 4.5 to 5 s, for which a client waits.

Change: bytes of an event move the deadline, those of a comment don't; an event may take 30 s at most. The relay waits for 4.85 s, which leaves the 0.15 s that a node may be held up. The chat front's engine client shares the code and had the first half of the fault.

Measured: TestRelayForwardsSlowStreams failed before in both forms (cut after 4.52 s), and passes; tests of endless comments and of stalls are as before.

--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -44,19 +44,16 @@
 	return cause, err
 }
 
-// stallDeadlineShare is the divisor of the stall timeout that gives the minimum time between two extensions of the deadline. Extending
-// it for each event would cost more than forwarding the event.
-const stallDeadlineShare = 64
+// maxEventTime is the longest time that an engine may take to write one event after the first token.
+const maxEventTime = 30 * time.Second
 
 // forwardEvents forwards the events after the first token.
 func (a *Attempt) forwardEvents(conn *http1.ClientConn, events *http1.EventReader, sink Sink) (outcome.Cause, error) {
-	var deadlineMovedAt time.Time
+	stall := http1.StallDeadline{Conn: conn, MaxEvent: maxEventTime}
+	events.Progress = stall.Progress
 	for {
-		stall := a.Client.StallTimeout()
-		if now := time.Now(); now.Sub(deadlineMovedAt) > stall/stallDeadlineShare {
-			deadlineMovedAt = now
-			conn.SetDeadline(now.Add(stall))
-		}
+		stall.Stall = a.Client.StallTimeout()
+		stall.EventEnded()
 		data, raw, err := events.Next()
 		if err != nil {
 			return a.CauseOf(unexpectedEOF(err), outcome.StreamStalled), err
--- a/internal/http1/events.go
+++ b/internal/http1/events.go
@@ -13,6 +13,7 @@
 // CRLF or CR. It is not safe for concurrent use.
 type EventReader struct {
 	Comment  func(line []byte) // called with each comment line; may be nil
+	Progress func()            // called when bytes of an event have arrived, not when those of a comment have; may be nil
 	buffered *bufio.Reader
 	max      int
 	raw      []byte
@@ -144,6 +145,9 @@
 		if err := e.take(arrived[:length+ending]); err != nil {
 			return nil, err
 		}
+		if length > 0 && e.raw[start] != ':' && e.Progress != nil {
+			e.Progress()
+		}
 		if ending == 0 {
 			continue
 		}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -13,9 +13,13 @@
 	"dillroute/internal/protocol"
 )
 
-// streamStallTimeout is the time without an event after which an engine's stream counts as broken. The client's connection must end
-// within 5 s after the last event of a running engine (PROTOCOL, figures).
-const streamStallTimeout = 4500 * time.Millisecond
+const (
+	// streamStallTimeout is the time without a byte of an event after which an engine's stream counts as broken. The client's connection
+	// must end within 5 s after the last event of a running engine (PROTOCOL, figures), also if the node is held up for 0.15 s.
+	streamStallTimeout = 4850 * time.Millisecond
+	// maxEventTime is the longest time that an engine may take to write one event.
+	maxEventTime = 30 * time.Second
+)
 
 // finalEvent is the data of the event that ends a stream (PROTOCOL, nodes to engines).
 const finalEvent = "[DONE]"
@@ -67,6 +71,8 @@
 	events := http1.NewEventReader(response.Body, maxEvent)
 	defer events.Close()
 	events.Comment = a.readComment
+	stall := http1.StallDeadline{Conn: conn, Stall: streamStallTimeout, MaxEvent: maxEventTime}
+	events.Progress = stall.Progress
 	var pending []byte
 	final := false // the final event has arrived
 	for begun := false; ; begun = true {
@@ -80,7 +86,7 @@
 				return cause, err
 			}
 		}
-		conn.SetDeadline(time.Now().Add(streamStallTimeout))
+		stall.EventEnded()
 		if cached, ok := usageTokens(data); ok {
 			result.Evidence.CachedTokens = cached
 		}
--- a/lab/platform/engine.go
+++ b/lab/platform/engine.go
@@ -33,6 +33,7 @@
 	stopped          bool
 	startDelay       time.Duration // time before the engine starts to serve a request
 	hung             chan struct{} // closed when the engine stops hanging; nil: it does not hang
+	readsSlowly      bool          // it reads slowReadBytes of a request in slowReadInterval
 	frozen           bool          // while it hangs, it does not detect closed connections either
 	attemptsLost     chan struct{} // closed when the engine loses the attempts that it has received
 	streamsStarted   int
@@ -167,7 +168,7 @@
 		e.mu.Unlock()
 		conn.Close()
 	}()
-	reader := bufio.NewReader(conn)
+	reader := bufio.NewReader(e.requestReader(conn))
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
@@ -187,6 +188,41 @@
 	}
 }
 
+// Rate at which an engine reads requests while it reads slowly.
+const (
+	slowReadBytes    = 2 << 10
+	slowReadInterval = 50 * time.Millisecond
+	slowReadBuffer   = 8 << 10 // bytes of the connection's receive buffer
+)
+
+// SetReadsSlowly sets whether the engine reads the requests on new connections slowly.
+func (e *Engine) SetReadsSlowly(on bool) {
+	e.mu.Lock()
+	e.readsSlowly = on
+	e.mu.Unlock()
+}
+
+// requestReader returns the reader from which the requests of a connection are read.
+func (e *Engine) requestReader(conn net.Conn) io.Reader {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.readsSlowly {
+		return conn
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetReadBuffer(slowReadBuffer)
+	}
+	return slowReader{conn}
+}
+
+// slowReader reads a connection slowly.
+type slowReader struct{ conn net.Conn }
+
+func (r slowReader) Read(p []byte) (int, error) {
+	time.Sleep(slowReadInterval)
+	return r.conn.Read(p[:min(len(p), slowReadBytes)])
+}
+
 // watch returns two channels: one is closed when the peer has closed its side, the other when the peer's next request begins.
 func watch(reader *bufio.Reader) (disconnected, nextRequest <-chan struct{}) {
 	closed, readable := make(chan struct{}), make(chan struct{})
--- a/lab/platform/fault.go
+++ b/lab/platform/fault.go
@@ -14,6 +14,8 @@
 	MalformedChunkSize        Fault = "bad chunk"     // in mid-stream, a chunk size that cannot be parsed
 	ChunkSizeMismatch         Fault = "misfit chunk"  // in mid-stream, a chunk longer than its size
 	HugeChunk                 Fault = "huge chunk"    // in mid-stream, a chunk of 3 GB of which 4 MB are sent
+	PauseMidStream            Fault = "pause"         // valid: in mid-stream, nothing is sent for streamPause
+	SlowEvent                 Fault = "slow event"    // valid: in mid-stream, an event is sent in pieces for slowEventTime
 	CloseMidStream            Fault = "cut"           // the connection closes in mid-stream
 	StallMidStream            Fault = "silent"        // from mid-stream on, nothing more is sent
 	CloseBeforeResponse       Fault = "cut before"    // the connection closes before the response
