Read on behind requests that are not kept, and reject these in order

The server read 1 MiB ahead and then stopped, so it saw neither a close nor requests behind that.

Change: beyond the limit it goes on reading without keeping the bytes. It follows the framing alone, rejects each such request with 503 after the responses to those before it, and then serves the connection as before. Memory for each connection stays bounded by the read-ahead limit and one head. A chunked request there ends the connection after its rejection.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -41,6 +41,9 @@
 	c.buffered = bufio.NewReaderSize(c.ahead, readBufferSize)
 	wait := orElse(server.Timeouts.First, server.Timeouts.Head) // the idle timeout applies after the first request
 	for {
+		if !c.rejectSkimmed() {
+			return
+		}
 		c.becomeIdle(wait)
 		if _, err := c.buffered.Peek(1); err != nil && !c.arrivedAtDeadline(err) {
 			c.closeIdle(err)
@@ -146,12 +149,15 @@
 }
 
 // writeError writes the response to a request that could not be read; the connection closes after it.
-func (c *conn) writeError(e *Error) {
+func (c *conn) writeError(e *Error) { c.netConn.Write(c.errorResponse(e, true)) }
+
+// errorResponse returns the response to a request that is rejected before it reaches the handler.
+func (c *conn) errorResponse(e *Error, closes bool) []byte {
 	fields, body := []Field{{"Content-Type", "text/plain; charset=utf-8"}}, []byte(e.Reason+"\n")
 	if c.server.ErrorBody != nil {
 		fields, body = c.server.ErrorBody(e.Status, e.Reason)
 	}
-	c.netConn.Write(appendReply(nil, e.Status, fields, body, true, false))
+	return appendReply(nil, e.Status, fields, body, closes, false)
 }
 
 // maxLingerBytes is the maximum number of bytes read from a closing connection.
--- a/internal/http1/disconnect.go
+++ b/internal/http1/disconnect.go
@@ -14,8 +14,7 @@
 
 // watchDisconnect waits for the end of an exchange and reports whether the client disconnected first. To detect a close behind bytes that
 // the client has sent after its request, it reads these bytes ahead and buffers them for the next request. Beyond the read-ahead limit
-// they stay in the kernel. A close behind them is then visible only in the TCP state. It is not visible at all if the client has sent
-// more than the kernel can buffer.
+// it skims them: their requests are rejected after those that are buffered (rejectSkimmed).
 func (c *conn) watchDisconnect(x *Exchange) (disconnected bool) {
 	for {
 		select {
@@ -23,12 +22,7 @@
 			return false
 		default:
 		}
-		_, err := c.buffered.Peek(c.buffered.Buffered() + 1)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			if err = c.ahead.readMore(c.mayReadAhead); err == errReadAheadFull {
-				return c.pollDisconnect(x)
-			}
-		}
+		err := c.readBehindRequest()
 		switch {
 		case err == nil:
 			continue
@@ -46,26 +40,58 @@
 	}
 }
 
-// disconnectPollInterval is the interval at which the TCP state of a connection is polled once the read-ahead limit is reached. A
-// disconnect must be detected well within 0.1 s (rule 1 of the platform).
-const disconnectPollInterval = 40 * time.Millisecond
+// readBehindRequest reads bytes that the client has sent after its request.
+func (c *conn) readBehindRequest() error {
+	if c.ahead.skimmed != nil {
+		return c.ahead.skimMore()
+	}
+	_, err := c.buffered.Peek(c.buffered.Buffered() + 1)
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return err
+	}
+	if err = c.ahead.readMore(c.mayReadAhead); err != errReadAheadFull {
+		return err
+	}
+	buffered, _ := c.buffered.Peek(c.buffered.Buffered())
+	c.ahead.startSkimming(buffered, c.server.Limits)
+	c.buffered.Reset(c.ahead)
+	return nil
+}
 
-// pollDisconnect continues watchDisconnect after the read-ahead limit is reached.
-func (c *conn) pollDisconnect(x *Exchange) (disconnected bool) {
-	ticker := time.NewTicker(disconnectPollInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-x.done:
+// rejectSkimmed rejects the requests that were skimmed, if there are any and those before them have their responses. It reads the rest of
+// the request that is being skimmed, if its body has begun. It returns false if the connection has to close.
+func (c *conn) rejectSkimmed() bool {
+	if c.ahead.skimmed == nil || c.buffered.Buffered() > 0 || len(c.ahead.pending) > 0 {
+		return true
+	}
+	deadline := time.Now().Add(c.server.Timeouts.Body)
+	for !c.ahead.stopSkimming() {
+		if skimmed := c.ahead.skimmed; skimmed.complete > 0 {
+			skimmed.complete--
+			if !c.rejectOneSkimmed() {
+				return false
+			}
+			continue
+		}
+		if err := c.ahead.skimmed.err; err != nil {
+			c.rejectRequest(err)
 			return false
-		case <-ticker.C:
 		}
-		if closed, halfClosed := peerClosed(c.netConn); closed {
-			x.clientDisconnected(halfClosed)
-			<-x.done
-			return true
+		c.netConn.SetReadDeadline(deadline)
+		if err := c.ahead.skimMore(); err != nil {
+			c.rejectRequest(err)
+			return false
 		}
 	}
+	return true
+}
+
+// rejectOneSkimmed writes the rejection of one request, and reports whether that succeeded.
+func (c *conn) rejectOneSkimmed() bool {
+	c.closed.Requests++
+	c.netConn.SetWriteDeadline(time.Now().Add(c.server.Timeouts.Write))
+	_, err := c.netConn.Write(c.errorResponse(&Error{503, "too many requests were sent at once"}, false))
+	return err == nil
 }
 
 // States of a TCP connection, as Linux numbers them (include/net/tcp_states.h).
--- a/internal/http1/readahead.go
+++ b/internal/http1/readahead.go
@@ -1,9 +1,12 @@
 package http1
 
 import (
+	"bytes"
 	"errors"
+	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -15,9 +18,12 @@
 	heldBytes *atomic.Int64 // of the server: bytes held by all connections
 	pending   []byte        // read ahead and not yet returned by Read
 	err       error         // error of reading ahead; Read returns it after the pending bytes
+	skimmed   *skimmer      // of the bytes behind the pending ones, which are not kept; nil = there are none
 
-	total    int64     // bytes read from the connection
-	arrivals []arrival // in order, of bytes that may not have been consumed yet
+	total      int64     // bytes read from the connection
+	sincePause int       // bytes that were skimmed since the last pause
+	skipped    int64     // bytes of total that were skimmed, while the bytes before them are pending
+	arrivals   []arrival // in order, of bytes that may not have been consumed yet
 }
 
 // arrival is when bytes were read from the connection.
@@ -50,7 +56,7 @@
 // nextArrivedAt returns when the next unconsumed byte was read from the connection. buffered is the number of bytes that Read has returned
 // and the caller has not consumed. Earlier arrivals are dropped.
 func (a *readAhead) nextArrivedAt(buffered int) time.Time {
-	next := a.total - int64(len(a.pending)) - int64(buffered)
+	next := a.total - a.skipped - int64(len(a.pending)) - int64(buffered)
 	for len(a.arrivals) > 0 && a.arrivals[0].end <= next {
 		a.arrivals = a.arrivals[1:]
 	}
@@ -81,12 +87,70 @@
 		return n, nil
 	case a.err != nil:
 		return 0, a.err
+	case a.skimmed != nil: // all requests that are pending are complete
+		return 0, io.ErrUnexpectedEOF
 	}
 	n, err := a.netConn.Read(p)
 	a.recordArrival(n)
 	return n, err
 }
 
+// startSkimming is called when no more bytes may be read ahead. Of the bytes that the caller has buffered and of those that were read
+// ahead, it keeps the complete requests alone.
+func (a *readAhead) startSkimming(buffered []byte, limits Limits) {
+	unread := append(bytes.Clone(buffered), a.pending...)
+	a.skimmed = &skimmer{limits: limits}
+	a.skimmed.add(unread)
+	a.skimmed.complete = 0
+	kept := a.skimmed.boundary
+	a.heldBytes.Add(int64(kept - len(a.pending)))
+	a.pending = unread[:kept:kept]
+	a.skipped = int64(len(unread) - kept)
+}
+
+// Pace of skimming on one connection. It is fast enough to find a close behind the bytes that the kernel holds well within 0.1 s, and leaves
+// time for other connections.
+const (
+	skimStep       = 64 << 10 // bytes of one read
+	skimPauseAfter = 8 * skimStep
+	skimPause      = time.Millisecond
+)
+
+// skimBuffers holds buffers for one step of skimming.
+var skimBuffers = sync.Pool{New: func() any { b := make([]byte, skimStep); return &b }}
+
+// skimMore reads and skims up to skimStep further bytes.
+func (a *readAhead) skimMore() error {
+	if a.err != nil {
+		return a.err
+	}
+	step := skimBuffers.Get().(*[]byte)
+	defer skimBuffers.Put(step)
+	n, err := a.netConn.Read(*step)
+	a.total += int64(n)
+	a.skipped += int64(n)
+	a.skimmed.add((*step)[:n])
+	if a.sincePause += n; a.sincePause >= skimPauseAfter {
+		a.sincePause = 0
+		time.Sleep(skimPause)
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		a.err = err
+	}
+	return err
+}
+
+// stopSkimming returns to reading, if the skimmed bytes end before the body of a request. The head that has been skimmed is pending then.
+func (a *readAhead) stopSkimming() bool {
+	if a.skimmed.body > 0 || a.skimmed.complete > 0 || a.skimmed.err != nil {
+		return false
+	}
+	a.pending = a.skimmed.head
+	a.heldBytes.Add(int64(len(a.pending)))
+	a.skimmed, a.skipped = nil, 0
+	return true
+}
+
 // readMore reads up to readAheadStep further bytes ahead, if allowed permits that number.
 func (a *readAhead) readMore(allowed func(bytes int) bool) error {
 	if a.err != nil {
