Choose the engines of a release call without sorting the fleet

Change: RankEngines finds the first engines alone, with the id as the last criterion, so the order in which the host passes them doesn't matter.

A property test compares the choice with that of a whole sort. It still grows with the fleet: docs/design/scale.md.

--- a/internal/decide/staterelease/rank.go
+++ b/internal/decide/staterelease/rank.go
@@ -13,21 +13,36 @@
 	LastSuccess, LastFailure float64 // when a call to it last succeeded, and when one last failed; 0 = never
 }
 
-// RankEngines returns the engines in the order in which they are called. Engines whose last call succeeded come before those whose
-// last call failed. Among these, listed engines come first, then the holder, then the engine with the latest success.
-func RankEngines(engines []Engine) []Engine {
-	ranked := slices.Clone(engines)
-	slices.SortStableFunc(ranked, func(a, b Engine) int {
-		return cmp.Or(
-			firstWithout(a.failedLast(), b.failedLast()),
-			firstWithout(!a.Listed, !b.Listed),
-			firstWithout(!a.Holder, !b.Holder),
-			cmp.Compare(b.LastSuccess, a.LastSuccess),
-		)
-	})
+// RankEngines returns the first engines, at most limit of them, in the order in which they are called. Engines whose last call succeeded
+// come before those whose last call failed. Among these, listed engines come first, then the holder, then the engine with the latest
+// success, then the one with the lowest ID. There may be thousands of engines, so they are not sorted as a whole.
+func RankEngines(engines []Engine, limit int) []Engine {
+	var ranked []Engine
+	for _, e := range engines {
+		if len(ranked) == limit && compareRank(e, ranked[limit-1]) > 0 {
+			continue
+		}
+		position, _ := slices.BinarySearchFunc(ranked, e, compareRank)
+		ranked = slices.Insert(ranked, position, e)
+		ranked = ranked[:min(limit, len(ranked))]
+	}
 	return ranked
 }
 
+func compareRank(a, b Engine) int {
+	switch {
+	case a.failedLast() != b.failedLast():
+		return firstWithout(a.failedLast(), b.failedLast())
+	case a.Listed != b.Listed:
+		return firstWithout(!a.Listed, !b.Listed)
+	case a.Holder != b.Holder:
+		return firstWithout(!a.Holder, !b.Holder)
+	case a.LastSuccess != b.LastSuccess:
+		return cmp.Compare(b.LastSuccess, a.LastSuccess)
+	}
+	return cmp.Compare(a.ID, b.ID)
+}
+
 // laterRoundCalls is the number of parallel calls in each round after the first. The first round makes one call, because that is usually
 // acknowledged. Each call may need a connection, and a node has few connections.
 const laterRoundCalls = 4
@@ -44,17 +59,18 @@
 	if s.called == nil {
 		s.called = map[string]bool{}
 	}
-	var next []string
 	followsAnother := s.Attempts == 0 && len(s.called) > 0
-	for _, e := range RankEngines(engines) {
-		if followsAnother && e.failedLast() {
-			break
-		}
-		if !s.called[e.ID] && len(next) < calls {
-			s.called[e.ID] = true
-			next = append(next, e.ID)
+	candidates := make([]Engine, 0, len(engines))
+	for _, e := range engines {
+		if !s.called[e.ID] && !(followsAnother && e.failedLast()) {
+			candidates = append(candidates, e)
 		}
 	}
+	var next []string
+	for _, e := range RankEngines(candidates, calls) {
+		s.called[e.ID] = true
+		next = append(next, e.ID)
+	}
 	if len(next) == 0 && len(engines) > 0 { // all were called: start over
 		s.called = nil
 		return s.NextEngines(engines)
--- a/internal/decide/staterelease/staterelease_test.go
+++ b/internal/decide/staterelease/staterelease_test.go
@@ -1,7 +1,9 @@
 package staterelease
 
 import (
+	"fmt"
 	"math"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -47,14 +49,14 @@
 		{ID: "old", Listed: true, LastSuccess: 2},
 		{ID: "new", Listed: true, LastSuccess: 8, LastFailure: 3},
 		{ID: "silent", Listed: true, LastFailure: 4},
-	}) {
+	}, 5) {
 		got += e.ID + ", "
 	}
 	if want := "new, old, gone, silent, dead holder, "; got != want {
 		t.Errorf("got %q, want %q", got, want)
 	}
 	engines := []Engine{{ID: "a", Listed: true, LastSuccess: 9}, {ID: "h", Listed: true, Holder: true}}
-	if firstEngine := RankEngines(engines)[0].ID; firstEngine != "h" {
+	if firstEngine := RankEngines(engines, 1)[0].ID; firstEngine != "h" {
 		t.Errorf("the first engine is %s, want the holder", firstEngine)
 	}
 }
@@ -221,3 +223,41 @@
 		}
 	}
 }
+
+// Guards against release calls whose cost grows with the fleet on the goroutine that owes the answers: the first engines are found without
+// sorting them all, and are those of a sort, whatever the order in which the engines come.
+func TestRankEnginesFindsTheFirstOfASort(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var engines []Engine
+		for i := range rapid.IntRange(0, 40).Draw(t, "engines") {
+			engines = append(engines, Engine{
+				ID:          fmt.Sprint(i),
+				Listed:      rapid.Bool().Draw(t, "listed"),
+				Holder:      i == 7,
+				LastSuccess: float64(rapid.IntRange(0, 3).Draw(t, "success")),
+				LastFailure: float64(rapid.IntRange(0, 3).Draw(t, "failure")),
+			})
+		}
+		limit := rapid.IntRange(1, 5).Draw(t, "limit")
+		want := slices.SortedFunc(slices.Values(engines), compareRank)
+		want = want[:min(limit, len(want))]
+		if got := RankEngines(rapid.Permutation(engines).Draw(t, "order"), limit); !slices.Equal(got, want) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	})
+}
+
+// BenchmarkNextEngines measures the choice of the engine for one release call.
+func BenchmarkNextEngines(b *testing.B) {
+	for _, size := range []int{100, 800, 3200} {
+		var engines []Engine
+		for i := range size {
+			engines = append(engines, Engine{ID: fmt.Sprint(i), Listed: true, LastSuccess: float64(i * 7919 % size)})
+		}
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for range b.N {
+				(&RetrySchedule{AnyEngine: true}).NextEngines(engines)
+			}
+		})
+	}
+}
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -1,9 +1,6 @@
 package node
 
 import (
-	"maps"
-	"slices"
-
 	"dillroute/internal/decide/outcome"
 	"dillroute/internal/protocol"
 	"dillroute/scheduler"
@@ -68,9 +65,6 @@
 	return engineEndpoint{}
 }
 
-// engineIDs returns the ids of the known engines in ascending order.
-func (n *Node) engineIDs() []string { return slices.Sorted(maps.Keys(n.owned.engines)) }
-
 // recordAttemptResult records whether an engine responded to an attempt that was started at startedAt. The record is used to rank the
 // engines for release calls (releaseTargets). It is kept only where every engine can release any state.
 func (n *Node) recordAttemptResult(now float64, id string, startedAt float64, cause outcome.Cause) {
--- a/internal/node/staterelease.go
+++ b/internal/node/staterelease.go
@@ -182,9 +182,8 @@
 	if !n.config.anyEngineReleases {
 		return []string{holder}
 	}
-	var candidates []staterelease.Engine
-	for _, id := range n.engineIDs() {
-		endpoint := n.endpoint(id)
+	candidates := make([]staterelease.Engine, 0, len(n.owned.engines))
+	for id, endpoint := range n.owned.engines {
 		candidates = append(candidates, staterelease.Engine{
 			ID:          id,
 			Listed:      n.table().EngineReady(id),
--- a/scheduler/passload_test.go
+++ b/scheduler/passload_test.go
@@ -5,8 +5,22 @@
 	"testing"
 )
 
-// crowdedScheduler returns a scheduler at time 1 with 3,200 engines, half of which prefill, and requests that arrive in the next step. No
-// engine that decodes accepts anything.
+// setDecodeEnginesFull sets whether the engines that decode are full and ejected.
+func setDecodeEnginesFull(sched *Scheduler, full bool) {
+	until := 0.0
+	if full {
+		until = 1e6
+	}
+	for _, target := range sched.engineList {
+		if target.role == Decode {
+			target.ejectedUntil = until
+			target.fullUntil = until
+		}
+	}
+}
+
+// crowdedScheduler returns a scheduler with 3,200 engines, half of which prefill and none of which accepts a decode, and requests that
+// arrive in the next step.
 func crowdedScheduler(t *testing.T, requests int) (*Scheduler, []Event) {
 	t.Helper()
 	endpoints := listOf()
@@ -14,13 +28,7 @@
 		endpoints.Engines = append(endpoints.Engines, testEngine(fmt.Sprintf("e%04d", i), i%2, i/2%4))
 	}
 	sched := startScheduler(t, testConfig(), endpoints)
-	for _, target := range sched.engineList {
-		if target.role == Decode {
-			target.ejectedUntil = 1e6
-			target.failureScore = 1
-			target.fullUntil = 1e6
-		}
-	}
+	setDecodeEnginesFull(sched, true)
 	var events []Event
 	for i := range requests {
 		req := testRequest(fmt.Sprint("q", i), idempotentClass)
@@ -75,11 +83,7 @@
 // Guards against states that are held past their limit because the pass is interrupted before it reaches them.
 func TestInterruptedPassesReleaseStatesInTime(t *testing.T) {
 	sched, events := crowdedScheduler(t, 300)
-	for _, target := range sched.engineList {
-		target.ejectedUntil = 0
-		target.failureScore = 0
-		target.fullUntil = 0
-	}
+	setDecodeEnginesFull(sched, false)
 	prefilled := map[string]float64{}
 	released := map[string]float64{}
 	acts := sched.Step(1, events)
@@ -91,13 +95,7 @@
 				outcomes = append(outcomes, Outcome{ID: sent.ID, Engine: sent.Engine, Status: Prefilled, Spent: 0.005})
 			}
 		}
-		for _, target := range sched.engineList {
-			if target.role == Decode {
-				target.ejectedUntil = 1e6
-				target.failureScore = 1
-				target.fullUntil = 1e6
-			}
-		}
+		setDecodeEnginesFull(sched, true)
 		acts = sched.Step(now, append(outcomes, TimerFired{Token: sched.timerToken}))
 		for _, release := range actionsOf[Release](acts) {
 			released[release.ID] = now
