--- a/scheduler/affinity_test.go
+++ b/scheduler/affinity_test.go
@@ -165,7 +165,7 @@
 			t.Fatalf("got %d prefixes and %d sessions, want at most %d", len(sched.prefixRates), len(sched.sessions), maxNames)
 		}
 	}
-	if _, kept := sched.prefixRates["in use"]; !kept {
+	if _, found := sched.prefixRates["in use"]; !found {
 		t.Error("the prefix in use was evicted")
 	}
 }
