--- a/internal/http1/skimmer_test.go
+++ b/internal/http1/skimmer_test.go
@@ -66,8 +66,8 @@
 			t.Fatal(err)
 		}
 	}
-	if held := s.HeldBytes(); held > maxReadAhead+300<<10 {
-		t.Errorf("got %d bytes held, want at most the read-ahead limit and one request", held)
+	if heldBytes := s.HeldBytes(); heldBytes > maxReadAhead+300<<10 {
+		t.Errorf("got %d bytes held, want at most the read-ahead limit and one request", heldBytes)
 	}
 	close(respond)
 	responses := bufio.NewReader(c)
@@ -96,8 +96,8 @@
 	for end := time.Now().Add(5 * time.Second); s.Conns() > 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
-	if held := s.HeldBytes(); held != 0 {
-		t.Errorf("got %d bytes held after the connection ended, want 0", held)
+	if heldBytes := s.HeldBytes(); heldBytes != 0 {
+		t.Errorf("got %d bytes held after the connection ended, want 0", heldBytes)
 	}
 }
 
