--- a/internal/http1/readahead.go
+++ b/internal/http1/readahead.go
@@ -102,14 +102,14 @@
 	a.skimmed = &skimmer{limits: limits}
 	a.skimmed.add(unread)
 	a.skimmed.complete = 0
-	kept := a.skimmed.boundary
-	a.heldBytes.Add(int64(kept - len(a.pending)))
-	a.pending = unread[:kept:kept]
-	a.skipped = int64(len(unread) - kept)
+	retained := a.skimmed.boundary
+	a.heldBytes.Add(int64(retained - len(a.pending)))
+	a.pending = unread[:retained:retained]
+	a.skipped = int64(len(unread) - retained)
 }
 
-// Pace of skimming on one connection. It is fast enough to find a close behind the bytes that the kernel holds well within 0.1 s, and leaves
-// time for other connections.
+// Pace of skimming on one connection. It finds a close behind the bytes that the kernel holds well within 0.1 s, and leaves time for other
+// connections.
 const (
 	skimStep       = 64 << 10 // bytes of one read
 	skimPauseAfter = 8 * skimStep
