--- a/lab/soak/memory_test.go
+++ b/lab/soak/memory_test.go
@@ -138,8 +138,8 @@
 	return kilobytes >> 10
 }
 
-// Guards against a process that passes its memory limit, and is killed, while hundreds of clients write slowly, stop half way through a large
-// request, send heads of many fields or without end, and read nothing of long answers.
+// Guards against a process that passes its memory limit, and is killed, while hundreds of clients write slowly, stop half way through a
+// large request, send heads of many fields or without end, and read nothing of long answers.
 func TestMemoryLimitHoldsWithHundredsOfSlowClients(t *testing.T) {
 	s := newFixture(t)
 	s.startNode()
